--- /dev/null
+++ b/pearstep/core/model.py
@@ -0,0 +1,159 @@
+"""What the scheduler talks about: jobs, machine types, teams, and amounts of a machine's room."""
+
+from __future__ import annotations
+
+import msgspec
+
+US = 1_000_000
+EPS = 1e-6
+
+PRIORITIES = ("production", "high", "normal", "low")
+KINDS = ("array", "gang", "service")
+
+
+class Spec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A job as its owner described it, in the field's standard terms. It never changes."""
+
+    ref: str
+    cls: str
+    team: str
+    kind: str
+    priority: int
+    tasks: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: str
+    image_gb: float
+    types: tuple[str, ...] | None = None
+    zone: str | None = None
+    one_zone: bool = False
+    spread: bool = False
+    spot: bool = False
+    estimate_us: int = 0
+    checkpoint_us: int = 0
+    save_us: int = 0
+    deadline_us: int | None = None
+
+    @property
+    def all_tasks(self) -> int:
+        """The set of all tasks as a bit mask; sets of tasks are whole numbers throughout."""
+        return (1 << self.tasks) - 1
+
+
+class MachineType(msgspec.Struct, frozen=True):
+    """A type of machine on offer and what it costs."""
+
+    name: str
+    cpus: float
+    gpus: float
+    memory_gb: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_us: int
+    zones: tuple[str, ...]
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; 0 means none of either."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+    def within_limit(self, cpus: float, gpus: float) -> bool:
+        """Whether the team may use this much at the same time."""
+        return (not self.cpus_max or cpus <= self.cpus_max + EPS) and (
+            not self.gpus_max or gpus <= self.gpus_max + EPS
+        )
+
+    def within_guarantee(self, cpus: float, gpus: float) -> bool:
+        """Whether this much is covered by what the team was promised."""
+        return bool(self.cpus or self.gpus) and (
+            (not self.cpus or cpus <= self.cpus + EPS) and (not self.gpus or gpus <= self.gpus + EPS)
+        )
+
+
+class Room:
+    """Free or used amounts of one machine."""
+
+    __slots__ = ("cpus", "gpus", "memory_gb")
+
+    def __init__(self, cpus: float, gpus: float, memory_gb: float) -> None:
+        self.cpus = cpus
+        self.gpus = gpus
+        self.memory_gb = memory_gb
+
+    def copy(self) -> Room:
+        """An independent copy to plan with."""
+        return Room(self.cpus, self.gpus, self.memory_gb)
+
+    def fits(self, spec: Spec) -> bool:
+        """Whether one task of the job fits in."""
+        return (
+            spec.cpus <= self.cpus + EPS
+            and spec.gpus <= self.gpus + EPS
+            and spec.memory_gb <= self.memory_gb + EPS
+        )
+
+    def take(self, spec: Spec, count: int = 1) -> None:
+        """Use up the room of some tasks (a negative count gives it back)."""
+        self.cpus -= spec.cpus * count
+        self.gpus -= spec.gpus * count
+        self.memory_gb -= spec.memory_gb * count
+
+    def how_many(self, spec: Spec, most: int) -> int:
+        """How many tasks of the job fit in, counted up to ``most``."""
+        n = most
+        for have, want in (
+            (self.cpus, spec.cpus),
+            (self.gpus, spec.gpus),
+            (self.memory_gb, spec.memory_gb),
+        ):
+            if want > 0:
+                n = min(n, int((have + EPS) / want))
+        return max(n, 0)
+
+
+def room_of(mtype: MachineType) -> Room:
+    """All the room that a machine of this type has."""
+    return Room(mtype.cpus, mtype.gpus, mtype.memory_gb)
+
+
+def bits(mask: int) -> list[int]:
+    """The task numbers in a bit mask, in ascending order, without walking the gaps."""
+    out = []
+    while mask:
+        low = mask & -mask
+        out.append(low.bit_length() - 1)
+        mask ^= low
+    return out
+
+
+def to_ranges(mask: int) -> str:
+    """A bit mask as '0-4,7'; runs of 1s are cut off whole, so that long runs cost little."""
+    parts = []
+    base = 0
+    while mask:
+        skip = (mask & -mask).bit_length() - 1
+        mask >>= skip
+        base += skip
+        run = ((mask + 1) & ~mask).bit_length() - 1
+        parts.append(str(base) if run == 1 else f"{base}-{base + run - 1}")
+        mask >>= run
+        base += run
+    return ",".join(parts)
+
+
+def from_ranges(text: str) -> int:
+    """The bit mask written by ``to_ranges``."""
+    mask = 0
+    for part in filter(None, text.split(",")):
+        first, _, last = part.partition("-")
+        lo = int(first)
+        mask |= ((1 << (int(last or first) - lo + 1)) - 1) << lo
+    return mask
--- /dev/null
+++ b/pearstep/core/records.py
@@ -0,0 +1,122 @@
+"""What is stored in the state service, and under which keys.
+
+``j/<ref>``               a job: its description and final state. Any node writes it, conditionally.
+``r/<part>/<ref>``        which tasks the leader has routed to a part; the leader writes it.
+``p/<part>/<ref>/<chunk>`` where those tasks are and which are done; the part's owner writes it.
+``m/<part>/<machine>``    a machine that has reported; its part's owner writes it.
+``d/<machine>``           the machine is to be emptied and deleted; the leader or its owner writes it.
+``h/<name>``              a rental request, written before it is sent; the leader writes it.
+``part/<n>``, ``leader``  who holds a part or the lead; the stamp is the holder's token.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from .model import Spec
+
+CHUNK = 16_384
+
+QUEUED, DONE, CANCELLED = "queued", "done", "cancelled"
+
+
+class JobRec(msgspec.Struct, omit_defaults=True):
+    """An accepted job."""
+
+    spec: Spec
+    at_us: int
+    state: str = QUEUED
+    end_us: int = 0
+
+
+class RouteRec(msgspec.Struct, omit_defaults=True):
+    """Tasks routed to a part. ``zone`` binds them; ``wide`` names machines chosen by the leader."""
+
+    tasks: str
+    zone: str | None = None
+    attempt: int = 0
+    wide: dict[str, str] | None = None
+
+
+class Place(msgspec.Struct, array_like=True):
+    """Where a task is: one machine, in one session, with one attempt, placed at a wall time."""
+
+    machine: str
+    session: int
+    attempt: int
+    at_us: int
+
+
+class PlaceRec(msgspec.Struct, omit_defaults=True):
+    """The placements of up to CHUNK tasks of a job in one part. ``done`` is a hexadecimal bit mask."""
+
+    run: dict[int, Place] = {}
+    done: str = "0"
+    last: int = 0
+
+
+class MachineRec(msgspec.Struct, omit_defaults=True):
+    """A machine that has reported to its owner."""
+
+    type: str
+    zone: str
+    spot: bool
+    addr: str
+
+
+class DrainRec(msgspec.Struct, omit_defaults=True):
+    """The machine takes no new tasks, is emptied and then deleted."""
+
+    why: str
+    at_us: int
+
+
+class HireRec(msgspec.Struct, omit_defaults=True):
+    """A rental request; ``machines`` is null until it is answered."""
+
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    at_us: int
+    machines: list[str] | None = None
+
+
+class HolderRec(msgspec.Struct):
+    """The holder of a part or of the lead."""
+
+    node: str
+
+
+RECORDS: dict[str, type[msgspec.Struct]] = {
+    "j": JobRec,
+    "r": RouteRec,
+    "p": PlaceRec,
+    "m": MachineRec,
+    "d": DrainRec,
+    "h": HireRec,
+    "part": HolderRec,
+    "leader": HolderRec,
+}
+DECODERS = {kind: msgspec.json.Decoder(cls) for kind, cls in RECORDS.items()}
+
+
+def decode(key: str, raw: bytes | memoryview) -> msgspec.Struct | None:
+    """Read a stored value by its key; None if the key is not one of ours or its value is unreadable."""
+    decoder = DECODERS.get(key.partition("/")[0])
+    if decoder is None:
+        return None
+    try:
+        return decoder.decode(raw)
+    except msgspec.MsgspecError:
+        return None
+
+
+def route_key(part: int, ref: str) -> str:
+    """The key of a job's route to a part."""
+    return f"r/{part}/{ref}"
+
+
+def place_key(part: int, ref: str, chunk: int) -> str:
+    """The key of the placements of one chunk of a job's tasks in a part."""
+    return f"p/{part}/{ref}/{chunk}"
