--- /dev/null
+++ b/pearstep/budget.py
@@ -0,0 +1,67 @@
+"""Request budgets: what a neighbour allows is shared by the nodes, and the urgent goes first."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections.abc import Callable
+
+URGENT, NORMAL, IDLE = 0, 1, 2
+
+
+class Budget:
+    """A bucket that refills steadily; those who wait are served by urgency, then in order."""
+
+    def __init__(self, per_s: float, burst: float, now_us: Callable[[], int]) -> None:
+        self.per_us = per_s / 1e6
+        self.burst = burst
+        self.level = burst
+        self._now_us = now_us
+        self._at = now_us()
+        self._waiting: list[tuple[int, int, float, asyncio.Future[None]]] = []
+        self._count = 0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def _refill(self) -> None:
+        now = self._now_us()
+        self.level = min(self.burst, self.level + (now - self._at) * self.per_us)
+        self._at = now
+
+    def try_take(self, amount: float = 1.0) -> bool:
+        """Take at once if nobody waits and there is enough."""
+        self._refill()
+        if self._waiting or self.level < min(amount, self.burst):
+            return False
+        self.level -= amount
+        return True
+
+    def drain(self) -> None:
+        """The neighbour says that the budget is used up."""
+        self._refill()
+        self.level = min(self.level, 0.0)
+
+    async def take(self, amount: float = 1.0, urgency: int = NORMAL) -> None:
+        """Wait for one's turn."""
+        if self.try_take(amount):
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._count += 1
+        heapq.heappush(self._waiting, (urgency, self._count, amount, future))
+        self._arm()
+        await future
+
+    def _arm(self) -> None:
+        if self._timer is None and self._waiting:
+            need = min(self._waiting[0][2], self.burst) - self.level
+            delay = max(need / self.per_us / 1e6, 0.001)
+            self._timer = asyncio.get_running_loop().call_later(delay, self._serve)
+
+    def _serve(self) -> None:
+        self._timer = None
+        self._refill()
+        while self._waiting and self.level >= min(self._waiting[0][2], self.burst):
+            _, _, amount, future = heapq.heappop(self._waiting)
+            if not future.done():
+                self.level -= amount
+                future.set_result(None)
+        self._arm()
--- /dev/null
+++ b/pearstep/chief.py
@@ -0,0 +1,175 @@
+"""The leader's dealings with its neighbours: writes routes, rents machines and returns them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from .cloud import Cloud
+from .core.fleet import Fleet, FleetConfig, Wish
+from .core.leader import Leader
+from .core.model import MachineType
+from .core.records import DrainRec, HireRec
+from .core.view import View
+from .settings import Settings, us
+from .store import COMMITTED, CONFLICT, REFUSED, Store
+
+log = logging.getLogger("pearstep.chief")
+
+
+class Chief:
+    """This node while it leads. ``stamp`` is the revision of the leader's key: every write is
+    conditional on it, so that an old leader's late writes are harmless."""
+
+    def __init__(
+        self, settings: Settings, view: View, types: dict[str, MachineType], store: Store, cloud: Cloud,
+        stamp: int, now_us: Callable[[], int], wall_us: Callable[[], int],
+        applied: Callable[[str, int, object], None], fresh: Callable[[], Awaitable[bool]],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.view = view
+        self.types = types
+        self.store = store
+        self.cloud = cloud
+        self.stamp = stamp
+        self.now_us = now_us
+        self.wall_us = wall_us
+        self.applied = applied
+        self.fresh = fresh
+        tuning = settings.tuning
+        self.leader = Leader(
+            stamp, view, types, settings.teams, settings.parts, tuning.backfilling.backlog
+        )
+        renting = tuning.renting
+        self.fleet = Fleet(
+            view, types, settings.params.zones,
+            FleetConfig(
+                us(renting.idle_s), renting.most_at_once, renting.most_machines, us(renting.settle_s),
+                us(renting.refused_s), renting.boot_factor, us(renting.boot_margin_s),
+            ),
+        )  # fmt: skip
+        self.requests = 0
+        self.asked: dict[str, int] = {}
+        self.list_us = 0
+        self.since_us = now_us()
+
+    async def _write(
+        self, puts: dict[str, Any], conditions: dict[str, int], deletes: list[str] | None = None
+    ) -> str:
+        outcome = await self.store.txn(
+            {"leader": self.stamp, **conditions}, {k: (v, None) for k, v in puts.items()}, deletes
+        )
+        if outcome.state == COMMITTED:
+            for key, value in puts.items():
+                self.applied(key, outcome.revision, value)
+            for key in deletes or ():
+                self.view.delete(key, outcome.revision)
+        elif outcome.state != REFUSED:
+            if outcome.state == CONFLICT:
+                log.info("leader: write stood back for %s", outcome.failed[:4])
+            await self.fresh()
+        return outcome.state
+
+    async def route(self) -> None:
+        """Write the routes that should change, as many as fit a transaction at a time."""
+        plans = self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s))
+        puts: dict[str, Any] = {}
+        conditions: dict[str, int] = {}
+        most = self.settings.params.state.txn_ops
+        for plan in plans:
+            more, when = plan.writes()
+            if puts and (len(puts) + len(more) > most or len(conditions) + len(when) > 3 * most):
+                break
+            puts.update(more)
+            conditions.update(when)
+        if puts:
+            await self._write(puts, conditions)
+
+    async def tend_fleet(self) -> None:
+        """Rent for what finds no room, return what is not needed, repeat what was not answered."""
+        now, wall = self.now_us(), self.wall_us()
+        self.fleet.follow(now, wall)
+        await self._repeat_hires(now)
+        if now - self.since_us < us(self.settings.tuning.renting.settle_s):
+            return
+        short = self.leader.unplaced + self.leader.placeless
+        for wish in self.fleet.wishes(short, now):
+            await self._hire(wish)
+        drains = self.fleet.returns(bool(short), now, wall)
+        if drains:
+            await self._drain(drains)
+        await self._tidy_hires()
+        if now - self.list_us > 8_000_000:
+            self.list_us = now
+            await self._check_list()
+
+    async def _hire(self, wish: Wish) -> None:
+        self.requests += 1
+        # Never used again, by any node: the stamp is this leadership's alone.
+        name = f"r-{self.stamp}-{self.requests}"
+        rec = HireRec(wish.type, wish.zone, wish.spot, wish.count, self.wall_us())
+        if await self._write({f"h/{name}": rec}, {f"h/{name}": 0}) == COMMITTED:
+            await self._ask(name, rec)
+
+    async def _ask(self, name: str, rec: HireRec) -> None:
+        self.asked[name] = self.now_us()
+        key = f"h/{name}"
+        answer = await self.cloud.hire(name, rec.type, rec.zone, rec.spot, rec.count)
+        if answer is None:
+            return
+        condition = {key: self.view.stamp(key)}
+        if answer is False:
+            log.info("rent %d %s in %s: none to be had", rec.count, rec.type, rec.zone)
+            self.fleet.note_refusal((rec.type, rec.zone, rec.spot), self.now_us())
+            await self._write({}, condition, [key])
+        elif isinstance(answer, list):
+            log.info("rented %d of %d %s in %s spot=%s: %s", len(answer), rec.count, rec.type, rec.zone,
+                     rec.spot, ",".join(answer))
+            if len(answer) < rec.count:
+                self.fleet.note_refusal((rec.type, rec.zone, rec.spot), self.now_us())
+            await self._write({key: msgspec.structs.replace(rec, machines=answer)}, condition)
+
+    async def _repeat_hires(self, now: int) -> None:
+        for name, rec in list(self.view.hires.items()):
+            if rec.machines is None and now - self.asked.get(name, 0) > 3_000_000:
+                await self._ask(name, rec)
+
+    async def _tidy_hires(self) -> None:
+        """Forget rental requests whose machines have all come up or are being deleted."""
+        over = [
+            f"h/{name}" for name, rec in self.view.hires.items()
+            if rec.machines is not None and not any(m in self.fleet.booting for m in rec.machines)
+        ]  # fmt: skip
+        over = over[: self.settings.params.state.txn_ops]
+        if len(over) >= 4:
+            await self._write({}, {key: self.view.stamp(key) for key in over}, over)
+
+    async def _drain(self, drains: dict[str, DrainRec]) -> None:
+        most = self.settings.params.state.txn_ops
+        puts = {f"d/{name}": rec for name, rec in list(drains.items())[:most]}
+        log.info("returning %s", ", ".join(f"{n} ({r.why})" for n, r in drains.items()))
+        await self._write(puts, dict.fromkeys(puts, 0))
+
+    async def _check_list(self) -> None:
+        """Machines that failed, or that nobody expects and that never came up, are deleted."""
+        listed = await self.cloud.machines()
+        if listed is None:
+            return
+        wall = self.wall_us()
+        drains: dict[str, DrainRec] = {}
+        known = {m for rec in self.view.hires.values() for m in rec.machines or ()}
+        for item in listed:
+            if item.name in self.view.drains:
+                continue
+            if item.state == "failed":
+                drains[item.name] = DrainRec("failed", wall)
+            elif item.state == "booting" and item.name not in known and item.name not in self.view.machines:
+                boot_us = self.types[item.type].boot_us if item.type in self.types else 60_000_000
+                cfg = self.fleet.cfg
+                if item.age_s * 1e6 > boot_us * cfg.boot_factor + cfg.boot_margin_us:
+                    drains[item.name] = DrainRec("never came up", wall)
+        if drains:
+            await self._drain(drains)
--- /dev/null
+++ b/pearstep/cli.py
@@ -0,0 +1,55 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import sys
+
+import click
+
+from . import __version__
+from .settings import Settings, SettingsError, load
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--config", "config", required=True, metavar="FILE", help="The platform's settings (TOML).")
+@click.option(
+    "--tuning", "tuning", metavar="FILE", default=None,
+    help="The operators' own settings (YAML); also PEARSTEP_TUNING. Everything has a default.",
+)  # fmt: skip
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.version_option(__version__, prog_name="pearstep")
+def main(config: str, tuning: str | None, check: bool) -> None:
+    """Run a pearstep controller node until it is killed.
+
+    LOG_LEVEL (error, info or debug) says how much is logged to standard error.
+    """
+    try:
+        settings = load(config, tuning)
+    except SettingsError as err:
+        click.echo(f"pearstep: {err}", err=True)
+        sys.exit(2)
+    level = os.environ.get("LOG_LEVEL", "info")
+    if level not in LEVELS:
+        click.echo(f"pearstep: LOG_LEVEL must be one of {', '.join(LEVELS)}, not {level!r}", err=True)
+        sys.exit(2)
+    logging.basicConfig(
+        level=LEVELS[level], stream=sys.stderr, format="%(levelname).1s %(name)s: %(message)s"
+    )
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    if check:
+        click.echo("settings are valid")
+        return
+    _run(settings)
+
+
+def _run(settings: Settings) -> None:
+    from .controller import Controller
+
+    gc.freeze()
+    asyncio.run(Controller(settings).run())
--- /dev/null
+++ b/pearstep/cloud.py
@@ -0,0 +1,87 @@
+"""The cloud: machine types, the machine list, rentals and deletions."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+import msgspec
+
+from . import wire
+from .budget import NORMAL, URGENT, Budget
+from .core.model import MachineType
+from .http import Client
+
+log = logging.getLogger("pearstep.cloud")
+
+_hired = msgspec.json.Decoder(wire.Hired)
+_list = msgspec.json.Decoder(wire.MachineList)
+
+
+class Cloud:
+    """One node's dealings with the cloud."""
+
+    def __init__(self, client: Client, addr: str, budget: Budget) -> None:
+        self._client = client
+        self._addr = addr
+        self._budget = budget
+
+    async def _ask(
+        self, method: str, path: str, body: bytes | None = None, urgency: int = NORMAL
+    ) -> tuple[int, bytes]:
+        await self._budget.take(1.0, urgency)
+        status, data = await self._client.fetch(self._addr, method, path, body, 8.0)
+        if status == 429:
+            self._budget.drain()
+            await asyncio.sleep(random.uniform(0.1, 0.4))
+        return status, data
+
+    async def types(self) -> dict[str, MachineType] | None:
+        """The machine types on offer, or None."""
+        status, data = await self._ask("GET", wire.TYPES, urgency=URGENT)
+        if status != 200:
+            return None
+        try:
+            return wire.read_types(data)
+        except msgspec.MsgspecError as err:
+            log.error("machine types: %s", err)
+            return None
+
+    async def machines(self) -> list[wire.Listed] | None:
+        """The whole machine list, or None."""
+        out: list[wire.Listed] = []
+        after: str | None = None
+        while True:
+            status, data = await self._ask("GET", wire.machines_query(after))
+            if status != 200:
+                return None
+            try:
+                page = _list.decode(data)
+            except msgspec.MsgspecError as err:
+                log.error("machine list: %s", err)
+                return None
+            out.extend(page.machines)
+            if not page.more or not page.machines:
+                return out
+            after = page.machines[-1].name
+
+    async def hire(self, name: str, mtype: str, zone: str, spot: bool, count: int) -> list[str] | None | bool:
+        """The machines rented; False if there are none to be had; None if it is not known."""
+        status, data = await self._ask("POST", wire.MACHINES, wire.hire_body(name, mtype, zone, spot, count))
+        if status == 200:
+            try:
+                return _hired.decode(data).machines
+            except msgspec.MsgspecError:
+                return None
+        if status == 503 and b"no capacity" in data:
+            return False
+        if status == 400:
+            log.error("rental request %s was malformed: %s", name, data[:200])
+            return False
+        return None
+
+    async def delete(self, names: list[str]) -> bool:
+        """True once the machines are certainly gone."""
+        status, _ = await self._ask("POST", wire.DELETE_MACHINES, wire.delete_body(names), URGENT)
+        return status == 200
--- /dev/null
+++ b/pearstep/core/backfill.py
@@ -0,0 +1,147 @@
+"""Multiple-queue aggressive backfilling (paper, section 3.2 and figure 4), over machines.
+
+Four queues by estimated run time, each with a partition of the machines. The first job of a queue is
+its pivot. A pivot that cannot start gets a start time and room kept for it on certain machines; a job
+that is backfilled must end before that time or fit beside the kept room. Partitions lend: a queue
+takes machines of another when that delays no pivot, and a machine that was idle changes partition.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+from .model import Spec
+from .placement import Seat, choose, reserve
+
+QUEUES = 4
+
+
+class Item:
+    """Work that waits in a part: one gang, or the waiting tasks of an array or a service."""
+
+    __slots__ = ("spec", "tasks", "order", "queue", "run_us", "zone", "not_before_us", "avoid")
+
+    def __init__(
+        self,
+        spec: Spec,
+        tasks: list[int],
+        order: tuple[int, int, str],
+        queue: int,
+        run_us: int,
+        zone: str | None = None,
+        not_before_us: int = 0,
+        avoid: frozenset[str] = frozenset(),
+    ) -> None:
+        self.spec = spec
+        self.tasks = tasks
+        self.order = order
+        self.queue = queue
+        self.run_us = run_us
+        self.zone = zone
+        self.not_before_us = not_before_us
+        self.avoid = avoid
+
+
+class Start:
+    """A decision: these tasks start now on these machines."""
+
+    __slots__ = ("item", "places")
+
+    def __init__(self, item: Item, places: list[tuple[int, Seat]]) -> None:
+        self.item = item
+        self.places = places
+
+
+class Backfill:
+    """The walk, with what it remembers between walks: partitions and the pivots' times."""
+
+    def __init__(self, bounds_us: list[int]) -> None:
+        self.bounds_us = bounds_us
+        self.labels: dict[str, int] = {}
+        self.pivots: dict[int, tuple[str, int]] = {}
+        self.blocked: list[Item] = []
+        self._next_label = 0
+
+    def queue_of(self, spec: Spec) -> int:
+        """The queue of a job by its owner's estimate; services join the longest."""
+        if spec.kind == "service":
+            return QUEUES - 1
+        for queue, bound in enumerate(self.bounds_us):
+            if spec.estimate_us <= bound:
+                return queue
+        return QUEUES - 1
+
+    def label(self, machine: str) -> int:
+        """The partition of a machine; new machines are dealt out evenly."""
+        if machine not in self.labels:
+            self.labels[machine] = self._next_label
+            self._next_label = (self._next_label + 1) % QUEUES
+        return self.labels[machine]
+
+    def forget(self, machine: str) -> None:
+        """The machine is gone."""
+        self.labels.pop(machine, None)
+
+    def walk(self, now_us: int, seats: list[Seat], items: Iterable[Item], delay_us: int = 0) -> list[Start]:
+        """Start what can start. Called at each arrival and completion."""
+        queues: list[list[Item]] = [[] for _ in range(QUEUES)]
+        for item in sorted(items, key=lambda i: i.order):
+            if item.not_before_us <= now_us:
+                queues[item.queue].append(item)
+        # An extra-long job waits its delay only while shorter jobs wait; services do not wait.
+        if any(queues[:-1]):
+            queues[-1] = [
+                i for i in queues[-1] if i.spec.kind == "service" or now_us >= i.order[1] + delay_us
+            ]
+        starts: list[Start] = []
+        self.pivots = {}
+        self.blocked = []
+        heads = [(q[0].order, n) for n, q in enumerate(queues) if q]
+        heapq.heapify(heads)
+        at = [0] * QUEUES
+        while heads:
+            _, n = heapq.heappop(heads)
+            item = queues[n][at[n]]
+            if self._start_all(item, seats, now_us, starts):
+                at[n] += 1
+                if at[n] < len(queues[n]):
+                    heapq.heappush(heads, (queues[n][at[n]].order, n))
+                continue
+            count = len(item.tasks) if item.spec.kind == "gang" else 1
+            pivot_us = reserve(item.spec, count, self._open(item, seats), now_us, item.zone)
+            self.blocked.append(item)
+            if pivot_us is None:
+                # It fits nowhere here, now or later: the leader finds it another part or rents for it.
+                # It is no pivot, for nothing could delay it, and the next job takes its place.
+                at[n] += 1
+                if at[n] < len(queues[n]):
+                    heapq.heappush(heads, (queues[n][at[n]].order, n))
+            else:
+                self.pivots[n] = (item.spec.ref, pivot_us)
+        rest = [i for n, q in enumerate(queues) for i in q[at[n] + 1 :]]
+        for item in sorted(rest, key=lambda i: i.order):
+            if not self._start_all(item, seats, now_us, starts):
+                self.blocked.append(item)
+        return starts
+
+    def _open(self, item: Item, seats: list[Seat]) -> list[Seat]:
+        return [s for s in seats if s.name not in item.avoid] if item.avoid else seats
+
+    def _start_all(self, item: Item, seats: list[Seat], now_us: int, starts: list[Start]) -> bool:
+        """Start as much of the item as can start now; True if nothing of it is left."""
+        seats = self._open(item, seats)
+        spec = item.spec
+        together = spec.kind == "gang"
+        while item.tasks:
+            count = len(item.tasks) if together else 1
+            chosen = choose(spec, count, seats, item.queue, now_us, item.run_us, item.zone)
+            if chosen is None:
+                return False
+            for seat in chosen:
+                if not seat.ends:
+                    self.labels[seat.name] = seat.label = item.queue
+                seat.start(spec, now_us + item.run_us + seat.fetch_us(spec))
+            starts.append(Start(item, list(zip(item.tasks[:count], chosen, strict=True))))
+            item.tasks = item.tasks[count:]
+        return True
--- /dev/null
+++ b/pearstep/core/job.py
@@ -0,0 +1,90 @@
+"""A job as the records describe it, and its state machine."""
+
+from __future__ import annotations
+
+from .model import Spec
+from .records import CANCELLED, CHUNK, DONE, QUEUED, JobRec, PlaceRec, RouteRec
+from .states import Table
+
+JOB = Table("job", {QUEUED: (DONE, CANCELLED), DONE: (), CANCELLED: ()})
+
+
+class Route:
+    """A committed route: the tasks of a job that one part may place."""
+
+    __slots__ = ("rec", "stamp", "mask", "zoned", "at_us")
+
+    def __init__(self, rec: RouteRec, stamp: int, mask: int, zoned: dict[str, int], at_us: int) -> None:
+        self.rec = rec
+        self.stamp = stamp
+        self.mask = mask
+        self.zoned = zoned
+        self.at_us = at_us
+
+
+class Placed:
+    """A committed placement record, with its sets as bit masks over the whole job."""
+
+    __slots__ = ("rec", "stamp", "run", "done")
+
+    def __init__(self, rec: PlaceRec, stamp: int, chunk: int) -> None:
+        self.rec = rec
+        self.stamp = stamp
+        self.done = int(rec.done, 16) << (chunk * CHUNK)
+        self.run = 0
+        for task in rec.run:
+            self.run |= 1 << task
+
+
+class Job:
+    """Everything committed about a job."""
+
+    __slots__ = ("spec", "state", "stamp", "at_us", "end_us", "routes", "places", "done", "seen_us")
+
+    def __init__(self, rec: JobRec, stamp: int, seen_us: int) -> None:
+        self.spec: Spec = rec.spec
+        self.state = rec.state
+        self.stamp = stamp
+        self.at_us = rec.at_us
+        self.end_us = rec.end_us
+        self.seen_us = seen_us
+        self.routes: dict[int, Route] = {}
+        self.places: dict[tuple[int, int], Placed] = {}
+        self.done = 0
+
+    def update(self, rec: JobRec, stamp: int) -> None:
+        """Take over a newer record; a final state stays, whatever arrives."""
+        JOB.move(self, rec.state)
+        self.stamp = stamp
+        self.end_us = rec.end_us
+
+    @property
+    def final(self) -> bool:
+        """Done or cancelled."""
+        return self.state != QUEUED
+
+    @property
+    def run(self) -> int:
+        """The tasks that have a placement anywhere."""
+        mask = 0
+        for placed in self.places.values():
+            mask |= placed.run
+        return mask
+
+    @property
+    def routed(self) -> int:
+        """The tasks that some part may place."""
+        mask = 0
+        for route in self.routes.values():
+            mask |= route.mask
+        return mask
+
+    @property
+    def complete(self) -> bool:
+        """Whether every task is recorded as done; services never are."""
+        return self.spec.kind != "service" and self.done == self.spec.all_tasks
+
+    def using(self) -> int:
+        """The tasks that use the team's limit: placed anywhere, or allowed to be."""
+        open_routes = 0 if self.final else self.routed & ~self.done
+        return open_routes | self.run
--- /dev/null
+++ b/pearstep/core/machine.py
@@ -0,0 +1,84 @@
+"""A machine as its owner knows it, and its state machine."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from .model import MachineType, Room, Spec, room_of
+from .states import Table
+from .task import Attempt
+
+UNSEEN = "unseen"  # known from records; it has not been heard under our token
+UP = "up"
+SILENT = "silent"  # no report for a while; its tasks may well be running
+DRAINING = "draining"  # takes nothing new, is being emptied
+DELETING = "deleting"  # the cloud has been asked to delete it
+GONE = "gone"
+
+MACHINE = Table(
+    "machine",
+    {
+        UNSEEN: (UP, DRAINING, GONE),
+        UP: (SILENT, DRAINING, GONE),
+        SILENT: (UP, DRAINING, GONE),
+        DRAINING: (DELETING, GONE),
+        DELETING: (DRAINING, GONE),
+        GONE: (),
+    },
+)
+
+
+class Machine:
+    """What the owner knows of a machine."""
+
+    __slots__ = (
+        "name", "mtype", "zone", "spot", "addr", "state", "session", "seq", "confirmed", "heard_us",
+        "answered_us", "attempts", "reaps", "pending_ends", "strays", "images", "errors", "notice_us",
+        "why", "drain_us", "first_us", "probe_us", "bare", "open_directs",
+    )  # fmt: skip
+
+    def __init__(self, name: str, mtype: MachineType, zone: str, spot: bool, addr: str, now_us: int) -> None:
+        self.name = name
+        self.mtype = mtype
+        self.zone = zone
+        self.spot = spot
+        self.addr = addr
+        self.state = UNSEEN
+        self.session = 0
+        self.seq = -1
+        # It has seen our own token: nobody with an older one can command it any more.
+        self.confirmed = False
+        self.heard_us = now_us
+        self.answered_us = now_us
+        self.first_us = now_us
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.reaps: set[tuple[str, int]] = set()
+        self.pending_ends: set[tuple[str, int]] = set()
+        self.open_directs: set[tuple[str, int]] = set()
+        self.strays: dict[tuple[str, int], Spec | None] = {}
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.errors: dict[str, int] = {}
+        self.notice_us: int | None = None
+        self.why = ""
+        self.drain_us = 0
+        self.probe_us = 0
+        self.bare = True
+
+    def free(self) -> Room:
+        """What is free, counting everything that may be on the machine as present."""
+        room = room_of(self.mtype)
+        for attempt in self.attempts.values():
+            room.take(attempt.spec)
+        for spec in self.strays.values():
+            if spec is not None:
+                room.take(spec)
+        return room
+
+    def holds_image(self, spec: Spec) -> None:
+        """The machine has fetched an image; the least recently used ones give way."""
+        self.images[spec.image] = spec.image_gb
+        self.images.move_to_end(spec.image)
+        total = sum(self.images.values())
+        while total > self.mtype.cache_gb and len(self.images) > 1:
+            _, size = self.images.popitem(last=False)
+            total -= size
--- /dev/null
+++ b/pearstep/core/owner.py
@@ -0,0 +1,712 @@
+"""The owner of a part: it alone commands the part's machines, and records before it commands.
+
+Driven by reports, committed changes and time; it returns actions and never waits for anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from . import machine as mc
+from .backfill import Backfill, Item
+from .delay import AdaptiveDelay
+from .gang import BREAKING, Gang
+from .job import Job
+from .machine import MACHINE, Machine
+from .model import US, MachineType, Spec, bits
+from .parts import part_of
+from .placement import Seat
+from .rec import Batch, Rec
+from .records import CANCELLED, CHUNK, DONE, QUEUED, DrainRec, JobRec, MachineRec, route_key
+from .task import ATTEMPT, ENDED, HEARD, PLACED, PLACING, Attempt
+from .trouble import Troubles
+from .view import View
+
+Order = tuple[str, str, int, float | None]
+IMMEDIATE = ("lost", "stuck")
+
+
+@dataclass
+class OwnerConfig:
+    """What the owner needs of the settings."""
+
+    parts: int
+    zone: str
+    lease_us: int
+    report_us: int
+    cancel_us: int
+    bounds_us: list[int]
+    initial_delay_us: int
+    batch: int
+    threshold: float
+    overrun: float
+    silent_us: int
+    sick_errors: int
+    suspect_machines: int
+    value_bytes: int
+    txn_ops: int
+    boot_us: int = 0
+
+
+@dataclass
+class TaskSeen:
+    """A task in a report."""
+
+    name: str
+    attempt: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+
+
+@dataclass
+class ReportSeen:
+    """A report in the core's terms."""
+
+    machine: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice_us: int | None
+    tasks: list[TaskSeen] = field(default_factory=list)
+
+
+@dataclass
+class Actions:
+    """What the owner wants done outside."""
+
+    sends: dict[str, list[Order]] = field(default_factory=dict)
+    deletes: list[str] = field(default_factory=list)
+
+    def send(self, machine: str, order: Order) -> None:
+        """Add a direct command."""
+        self.sends.setdefault(machine, []).append(order)
+
+    def probe(self, machine: str) -> None:
+        """An empty direct command: it carries the token there and a report back."""
+        self.sends.setdefault(machine, [])
+
+
+def split_task(name: str) -> tuple[str, int]:
+    """The job and number in a task's name; number -1 if there is none."""
+    ref, _, number = name.partition("/")
+    return ref, int(number) if number.isdigit() else -1
+
+
+class Owner:
+    """One part while this node holds it. ``token`` is the stamp of the part's key."""
+
+    def __init__(
+        self, part: int, token: int, view: View, types: dict[str, MachineType], cfg: OwnerConfig,
+        now_us: int, wall_us: int,
+    ) -> None:  # fmt: skip
+        self.part = part
+        self.token = token
+        self.view = view
+        self.types = types
+        self.cfg = cfg
+        self.recs: dict[tuple[str, int], Rec] = {}
+        self.machines: dict[str, Machine] = {}
+        self.backfill = Backfill(cfg.bounds_us)
+        self.delay = AdaptiveDelay(cfg.initial_delay_us, cfg.batch, cfg.threshold)
+        self.gangs: dict[str, Gang] = {}
+        self.troubles = Troubles(cfg.suspect_machines, cfg.sick_errors)
+        self.outbox: dict[str, tuple[Any, dict[str, int]]] = {}
+        self.finish: dict[str, int] = {}
+        self.early_deletes: dict[str, int] = {}
+        self.gone: set[str] = set()
+        self.walk_due = True
+        self.next_walk_us = 0
+        self._load(now_us, wall_us)
+
+    # -- records ---------------------------------------------------------------------------------
+
+    def _load(self, now_us: int, wall_us: int) -> None:
+        for name, (part, rec) in self.view.machines.items():
+            if part == self.part and rec.type in self.types:
+                self.machines[name] = Machine(
+                    name, self.types[rec.type], rec.zone, rec.spot, rec.addr, now_us
+                )
+        for job in self.view.jobs.values():
+            for part, chunk in job.places:
+                if part == self.part:
+                    self._reload(self._rec(job.spec, chunk), now_us, wall_us)
+
+    def _rec(self, spec: Spec, chunk: int) -> Rec:
+        rec = self.recs.get((spec.ref, chunk))
+        if rec is None:
+            rec = self.recs[spec.ref, chunk] = Rec(self.part, spec, chunk)
+        return rec
+
+    def _reload(self, rec: Rec, now_us: int, wall_us: int) -> None:
+        """Go back to what is committed. Whatever was decided but not written is decided again."""
+        before = list(rec.attempts.values())
+        job = self.view.jobs[rec.spec.ref]
+        placed = job.places.get((self.part, rec.chunk))
+        if placed is None:
+            rec.attempts, rec.done, rec.last, rec.stamp, rec.dirty = {}, 0, 0, 0, False
+        else:
+            rec.load(placed.rec, placed.stamp, now_us, wall_us)
+        kept = {id(a) for a in rec.attempts.values()}
+        for attempt in before:
+            if id(attempt) not in kept and (m := self.machines.get(attempt.machine)):
+                m.attempts.pop((attempt.name, attempt.number), None)
+        for attempt in rec.attempts.values():
+            m = self.machines.get(attempt.machine)
+            if m is not None:
+                m.attempts[attempt.name, attempt.number] = attempt
+                m.pending_ends.discard((attempt.name, attempt.number))
+                m.reaps.discard((attempt.name, attempt.number))
+        self.walk_due = True
+
+    def job_changed(self, ref: str, now_us: int, wall_us: int) -> None:
+        """Records of a job have changed in the view."""
+        self.walk_due = True
+        job = self.view.jobs.get(ref)
+        if job is None:
+            return
+        for (part, chunk), placed in job.places.items():
+            if part != self.part:
+                continue
+            rec = self._rec(job.spec, chunk)
+            # Only this owner writes here: a newer stamp is a transaction of ours whose answer was lost.
+            if placed.stamp > rec.stamp and not rec.inflight:
+                self._reload(rec, now_us, wall_us)
+        if job.state == QUEUED and job.complete and ref not in self.finish:
+            lowest = min((part for part, _ in job.places), default=self.part)
+            self.finish[ref] = now_us if lowest == self.part else now_us + US
+
+    # -- reports ---------------------------------------------------------------------------------
+
+    def on_report(self, rep: ReportSeen, now_us: int, wall_us: int) -> Machine | None:
+        """Take in a report. None if the machine cannot be used (unknown type, or deleted)."""
+        if rep.machine in self.gone:
+            return None
+        m = self.machines.get(rep.machine)
+        if m is None:
+            mtype = self.types.get(rep.type)
+            if mtype is None:
+                return None
+            m = Machine(rep.machine, mtype, rep.zone, rep.spot, rep.addr, now_us)
+            self.machines[rep.machine] = m
+        known = self.view.machines.get(m.name)
+        if known is None or known[1].addr != rep.addr:
+            m.addr = rep.addr
+            self.outbox[f"m/{self.part}/{m.name}"] = (MachineRec(rep.type, rep.zone, rep.spot, rep.addr), {})
+        if (rep.session, rep.seq) <= (m.session, m.seq):
+            return m  # a late message: its task list is old
+        if rep.session > m.session:
+            self._new_session(m, rep.session, now_us, wall_us)
+        m.seq = rep.seq
+        m.heard_us = now_us
+        if rep.token == self.token and not m.confirmed:
+            m.confirmed = True
+            # Whoever answered before can do so no longer; its last answer is not later than this.
+            m.answered_us = now_us
+            self.walk_due = True
+        if m.state in (mc.UNSEEN, mc.SILENT):
+            MACHINE.move(m, mc.UP)
+            self.walk_due = True
+        if rep.notice_us is not None and m.notice_us is None:
+            m.notice_us = now_us + rep.notice_us
+            self.want_drain(m.name, "notice", wall_us)
+        self._match(m, rep, now_us, wall_us)
+        return m
+
+    def _new_session(self, m: Machine, session: int, now_us: int, wall_us: int) -> None:
+        """The worker's lease ran out: it has killed and forgotten everything of earlier sessions."""
+        for attempt in [a for a in m.attempts.values() if a.session < session]:
+            self._end(m, attempt, "lost", now_us, wall_us)
+        m.session = session
+        m.reaps.clear()
+        m.open_directs.clear()
+        m.strays.clear()
+
+    def _match(self, m: Machine, rep: ReportSeen, now_us: int, wall_us: int) -> None:
+        strays: dict[tuple[str, int], Spec | None] = {}
+        seen: set[tuple[str, int]] = set()
+        m.reaps.intersection_update({(t.name, t.attempt) for t in rep.tasks})
+        for t in rep.tasks:
+            key = (t.name, t.attempt)
+            seen.add(key)
+            attempt = m.attempts.get(key)
+            if attempt is None:
+                if t.state == "exited":
+                    if key not in m.pending_ends:
+                        m.reaps.add(key)
+                else:
+                    job = self.view.jobs.get(split_task(t.name)[0])
+                    strays[key] = job.spec if job else None
+            elif t.state == "exited":
+                self._end(m, attempt, t.why or "error", now_us, wall_us, t.saved)
+            else:
+                if t.state != "fetching":
+                    m.holds_image(attempt.spec)
+                attempt.heard(t.state, now_us)
+        if strays.keys() != m.strays.keys():
+            self.walk_due = True
+        m.strays = strays
+        if not m.confirmed:
+            return
+        for key, attempt in list(m.attempts.items()):
+            if key in seen or attempt.state == PLACING or key in m.open_directs:
+                continue
+            # Reports are sent one at a time, so this one came after any start in an earlier answer
+            # was executed or dropped; and no direct start is open.
+            if attempt.state == HEARD or (attempt.state == PLACED and attempt.stop_grace_us is not None):
+                self._end(m, attempt, "lost", now_us, wall_us)
+
+    def _end(
+        self, m: Machine, a: Attempt, why: str, now_us: int, wall_us: int, saved: bool = False
+    ) -> None:
+        """There is evidence that the attempt is gone: free its place and record it."""
+        ref, task = a.spec.ref, a.task
+        ATTEMPT.move(a, ENDED)
+        m.attempts.pop((a.name, a.number), None)
+        m.pending_ends.add((a.name, a.number))
+        rec = self._rec(a.spec, task // CHUNK)
+        if rec.attempts.get(task) is a:
+            del rec.attempts[task]
+        rec.dirty = True
+        self.walk_due = True
+        if why == "done":
+            rec.done |= 1 << task
+            if a.spec.kind == "gang":
+                # Gangs complete together: when one task is done, all are.
+                for t in range(a.spec.tasks):
+                    other = self._rec(a.spec, t // CHUNK)
+                    other.done |= 1 << t
+                    other.dirty = True
+            self.troubles.succeeded(m.name, ref)
+            begun = a.running_us or now_us
+            job = self.view.jobs.get(ref)
+            waited = a.at_us - job.at_us if job else 0
+            self.delay.completed(self.backfill.queue_of(a.spec) == 0, waited, now_us - begun)
+        elif why == "unknown":
+            self.troubles.unknown(ref, now_us)
+        elif why == "error":
+            if self.troubles.failed(m.name, ref, now_us):
+                self.want_drain(m.name, "sick", wall_us)
+        elif why in ("no_room", "busy"):
+            self.troubles.refused(m.name, ref, now_us)
+
+    def answered(self, m: Machine, now_us: int) -> None:
+        """An answer with our token is on its way to the worker: its lease lives on."""
+        m.answered_us = now_us
+
+    def orders(self, m: Machine) -> list[Order]:
+        """Commands for the answer to a report."""
+        out: list[Order] = []
+        for (name, number), a in m.attempts.items():
+            if a.stop_grace_us is not None:
+                if a.state in (PLACED, HEARD) and not (a.phase == "saving" and a.stop_grace_us):
+                    out.append(("stop", name, number, a.stop_grace_us / US))
+            elif a.state == PLACED and not self._cancelled(a.spec.ref):
+                out.append(("start", name, number, None))
+        for name, number in m.strays:
+            out.append(("stop", name, number, 0.0))
+        for key in m.reaps:
+            if key not in m.open_directs:
+                out.append(("forget", *key, None))
+        return out
+
+    def _cancelled(self, ref: str) -> bool:
+        job = self.view.jobs.get(ref)
+        return job is None or job.state == CANCELLED
+
+    def directs_sent(self, m: Machine, orders: list[Order]) -> None:
+        """Direct starts are on their way."""
+        m.open_directs.update((name, number) for op, name, number, _ in orders if op == "start")
+
+    def directs_answered(self, m: Machine, orders: list[Order]) -> None:
+        """The worker has executed them, or certainly will not."""
+        m.open_directs.difference_update((name, number) for op, name, number, _ in orders if op == "start")
+
+    # -- time ------------------------------------------------------------------------------------
+
+    def step(self, now_us: int, wall_us: int) -> Actions:
+        """Everything that follows from what is known now."""
+        actions = Actions()
+        self._follow_cancels(now_us, wall_us, actions)
+        for m in list(self.machines.values()):
+            self._follow_machine(m, now_us, wall_us, actions)
+        self._follow_early_deletes(now_us, actions)
+        self._follow_gangs(now_us, actions)
+        if self.walk_due or now_us >= self.next_walk_us:
+            self.walk_due = False
+            self.next_walk_us = now_us + US
+            self._walk(now_us, wall_us)
+        return actions
+
+    def stop(self, a: Attempt, grace_us: int, now_us: int, actions: Actions) -> None:
+        """Tell an attempt to stop; the order is repeated in answers until it is gone."""
+        if a.stop_grace_us is not None and a.stop_grace_us <= grace_us:
+            return
+        a.stop_grace_us = grace_us
+        a.stop_us = now_us
+        if a.state in (PLACED, HEARD):
+            actions.send(a.machine, ("stop", a.name, a.number, grace_us / US))
+
+    def _follow_cancels(self, now_us: int, wall_us: int, actions: Actions) -> None:
+        for key, rec in list(self.recs.items()):
+            job = self.view.jobs[rec.spec.ref]
+            if not rec.attempts:
+                if job.final and not rec.dirty and not rec.inflight:
+                    del self.recs[key]
+                continue
+            if job.state != CANCELLED:
+                continue
+            late = wall_us - job.end_us > self.cfg.cancel_us // 2
+            for a in rec.attempts.values():
+                self.stop(a, 0, now_us, actions)
+                if late:
+                    self.want_drain(a.machine, "stuck", wall_us)
+
+    def want_drain(self, name: str, why: str, wall_us: int) -> None:
+        """Record that the machine is to be emptied and deleted. Nothing is placed there afterwards:
+        placements are conditional on the absence of this key."""
+        key = f"d/{name}"
+        known = self.view.drains.get(name)
+        if name in self.gone or key in self.outbox or (
+            known is not None and (known.why == why or why not in IMMEDIATE)
+        ):
+            return
+        self.outbox[key] = (DrainRec(why, wall_us), {})
+
+    def _follow_machine(self, m: Machine, now_us: int, wall_us: int, actions: Actions) -> None:
+        cfg = self.cfg
+        drain = self.view.drains.get(m.name)
+        if m.attempts and m.confirmed and now_us - m.answered_us > cfg.lease_us + cfg.lease_us // 500 + US:
+            # It has seen our token, so only our answers kept its lease alive: it has run out there.
+            for a in list(m.attempts.values()):
+                if a.state != PLACING:
+                    self._end(m, a, "lost", now_us, wall_us)
+        if drain is not None:
+            if m.state not in (mc.DRAINING, mc.DELETING):
+                MACHINE.move(m, mc.DRAINING)
+                m.drain_us = now_us
+            m.why = drain.why
+            self._drain(m, now_us, actions)
+            return
+        quiet = now_us - m.heard_us
+        if m.state == mc.UP and quiet > 2 * cfg.report_us:
+            MACHINE.move(m, mc.SILENT)
+        if (m.state in (mc.UNSEEN, mc.SILENT) or not m.confirmed) and now_us >= m.probe_us:
+            m.probe_us = now_us + 3 * US
+            actions.probe(m.name)
+        if m.state in (mc.UNSEEN, mc.SILENT) and quiet > cfg.silent_us and not self._cut_off(m, now_us):
+            self.want_drain(m.name, "lost", wall_us)
+
+    def _cut_off(self, m: Machine, now_us: int) -> bool:
+        """Many machines of another zone silent at once: a cut, not many deaths. They work on inside."""
+        if m.zone == self.cfg.zone:
+            return False
+        same = [o for o in self.machines.values() if o.zone == m.zone and o.state != mc.DELETING]
+        silent = [o for o in same if now_us - o.heard_us > 2 * self.cfg.report_us]
+        return len(silent) >= 2 and len(silent) * 2 > len(same)
+
+    def _drain(self, m: Machine, now_us: int, actions: Actions) -> None:
+        if m.state != mc.DRAINING:
+            return
+        if m.why not in IMMEDIATE:
+            left = None if m.notice_us is None else max(m.notice_us - now_us, 0)
+            longest = 0
+            for a in list(m.attempts.values()):
+                grace = a.spec.save_us + US if a.spec.checkpoint_us else 0
+                if left is not None and left < a.spec.save_us:
+                    grace = 0
+                longest = max(longest, grace)
+                self._stop_whole(a, grace, now_us, actions)
+            if m.attempts and now_us - m.drain_us < longest + 10 * US:
+                return
+        if now_us >= m.probe_us:
+            MACHINE.move(m, mc.DELETING)
+            actions.deletes.append(m.name)
+
+    def _stop_whole(self, a: Attempt, grace_us: int, now_us: int, actions: Actions) -> None:
+        """Stop a task, and with it its whole gang: all must be told within a short time to save."""
+        if a.spec.kind != "gang":
+            self.stop(a, grace_us, now_us, actions)
+            return
+        for rec in self._recs_of(a.spec):
+            for mate in rec.attempts.values():
+                self.stop(mate, grace_us, now_us, actions)
+
+    def _recs_of(self, spec: Spec) -> list[Rec]:
+        return [
+            rec for chunk in range((spec.tasks - 1) // CHUNK + 1)
+            if (rec := self.recs.get((spec.ref, chunk))) is not None
+        ]  # fmt: skip
+
+    def _follow_early_deletes(self, now_us: int, actions: Actions) -> None:
+        """Machines that are to go before they ever reported to us."""
+        for name in self.view.drains:
+            if (
+                name not in self.machines and name not in self.gone
+                and part_of(name, self.cfg.parts) == self.part
+                and now_us >= self.early_deletes.get(name, 0)
+            ):  # fmt: skip
+                self.early_deletes[name] = now_us + 5 * US
+                actions.deletes.append(name)
+
+    def delete_failed(self, name: str, now_us: int) -> None:
+        """The cloud did not confirm; try again soon."""
+        m = self.machines.get(name)
+        if m is not None and m.state == mc.DELETING:
+            MACHINE.move(m, mc.DRAINING)
+            m.probe_us = now_us + US
+        self.early_deletes[name] = now_us + US
+
+    def deleted(self, name: str, now_us: int, wall_us: int) -> None:
+        """The cloud has confirmed: the machine and all that was on it are gone."""
+        m = self.machines.pop(name, None)
+        if m is not None:
+            for a in list(m.attempts.values()):
+                self._end(m, a, "lost", now_us, wall_us)
+            MACHINE.move(m, mc.GONE)
+        self.gone.add(name)
+        self.early_deletes.pop(name, None)
+        self.backfill.forget(name)
+        self.outbox[f"d/{name}"] = (None, {})
+        self.outbox[f"m/{self.part}/{name}"] = (None, {})
+
+    def _follow_gangs(self, now_us: int, actions: Actions) -> None:
+        by_gang: dict[str, list[Attempt]] = {}
+        for rec in self.recs.values():
+            if rec.spec.kind == "gang" and (rec.attempts or rec.spec.ref in self.gangs):
+                by_gang.setdefault(rec.spec.ref, []).extend(rec.attempts.values())
+        for ref, attempts in by_gang.items():
+            job = self.view.jobs[ref]
+            here = job.spec.tasks
+            route = job.routes.get(self.part)
+            if route is not None and route.rec.wide:
+                here = route.mask.bit_count()
+            gang = self.gangs.setdefault(ref, Gang())
+            done = any(rec.done for rec in self._recs_of(job.spec))
+            if gang.update(here, done, attempts) == BREAKING:
+                for a in attempts:
+                    if a.stop_grace_us is None:
+                        self.stop(a, 0, now_us, actions)
+            if not attempts:
+                del self.gangs[ref]
+
+    # -- the walk --------------------------------------------------------------------------------
+
+    def seats(self, now_us: int) -> list[Seat]:
+        """The machines that may be given tasks."""
+        out = []
+        for m in self.machines.values():
+            if (
+                m.state != mc.UP or not m.confirmed or m.notice_us is not None
+                or m.name in self.view.drains or m.name not in self.view.machines
+                or f"d/{m.name}" in self.outbox or self.troubles.resting(m.name, now_us)
+            ):  # fmt: skip
+                continue
+            ends = [
+                (a.expected_end_us(now_us, self._run_us(a.spec), self.cfg.overrun), a.spec)
+                for a in m.attempts.values()
+            ]
+            images = set(m.images)
+            images.update(a.spec.image for a in m.attempts.values())
+            out.append(
+                Seat(m.name, m.mtype, m.zone, m.spot, m.free(), images, self.backfill.label(m.name), ends)
+            )
+        return out
+
+    def _run_us(self, spec: Spec) -> int:
+        return max(spec.estimate_us, US)
+
+    def items(self, now_us: int) -> list[Item]:
+        """What waits in this part."""
+        out: list[Item] = []
+        stray_names = {name for m in self.machines.values() for name, _ in m.strays}
+        for job in self.view.open.values():
+            route = job.routes.get(self.part)
+            if route is None or job.state != QUEUED or route.rec.wide:
+                continue
+            waiting = route.mask & ~job.done
+            for rec in self._recs_of(job.spec):
+                waiting &= ~rec.done
+                for task in rec.attempts:
+                    waiting &= ~(1 << task)
+            if not waiting:
+                continue
+            if job.spec.kind == "gang" and waiting != job.spec.all_tasks:
+                continue
+            self._items_of(job, route.zoned, waiting, now_us, stray_names, out)
+        return out
+
+    def _items_of(
+        self, job: Job, zoned: dict[str, int], waiting: int, now_us: int, strays: set[str], out: list[Item]
+    ) -> None:
+        spec = job.spec
+        resting_us = self.troubles.not_before(spec.ref)
+        order = (spec.priority, job.at_us, spec.ref)
+        queue = self.backfill.queue_of(spec)
+        room = max((self.cfg.value_bytes - 6 * 1024) // 64, 16)
+        if spec.kind == "gang":
+            room = spec.tasks
+        bound = 0
+        for zone, mask in zoned.items():
+            bound |= mask
+            self._add(out, spec, waiting & mask, room, order, queue, zone, resting_us, strays)
+        self._add(out, spec, waiting & ~bound, room, order, queue, None, resting_us, strays)
+
+    def _add(
+        self, out: list[Item], spec: Spec, mask: int, room: int, order: tuple[int, int, str], queue: int,
+        zone: str | None, resting_us: int, strays: set[str],
+    ) -> None:  # fmt: skip
+        tasks = bits(mask)[:room]
+        if strays:
+            names = {f"{spec.ref}/{t}" for t in tasks} & strays
+            if names:
+                if spec.kind == "gang":
+                    return
+                tasks = [t for t in tasks if f"{spec.ref}/{t}" not in names]
+        if tasks:
+            avoid = self.troubles.avoid(spec.ref)
+            out.append(Item(spec, tasks, order, queue, self._run_us(spec), zone, resting_us, avoid))
+
+    def _walk(self, now_us: int, wall_us: int) -> None:
+        items = self.items(now_us)
+        if not items:
+            self.backfill.blocked = []
+            self.backfill.pivots = {}
+            return
+        for start in self.backfill.walk(now_us, self.seats(now_us), items, self.delay.delay_us):
+            spec = start.item.spec
+            gang = spec.kind == "gang"
+            recs = [self._rec(spec, chunk) for chunk in {t // CHUNK for t, _ in start.places}]
+            number = max(r.last for r in recs) + 1
+            for task, seat in start.places:
+                rec = self._rec(spec, task // CHUNK)
+                if not gang:
+                    number = rec.last + 1
+                rec.last = max(rec.last, number)
+                self._place(rec, task, seat.name, number, now_us, wall_us)
+
+    def _place(self, rec: Rec, task: int, machine: str, number: int, now_us: int, wall_us: int) -> None:
+        m = self.machines[machine]
+        a = Attempt(rec.spec, task, machine, m.session, number, wall_us, now_us)
+        rec.attempts[task] = a
+        rec.dirty = True
+        m.attempts[a.name, number] = a
+
+    # -- group commits ---------------------------------------------------------------------------
+
+    def gather(self, now_us: int, wall_us: int) -> Batch | None:
+        """The next group commit, conditional on our token, or None if there is nothing to write."""
+        batch = Batch()
+        part_key = f"part/{self.part}"
+        batch.conditions[part_key] = self.token
+        most = self.cfg.txn_ops
+        for rec in self.recs.values():
+            if batch.changes + 2 > most or batch.size > 40_000 or len(batch.conditions) > 3 * most:
+                break
+            if rec.dirty and not rec.inflight:
+                self._gather_rec(rec, batch)
+        for ref, at_us in list(self.finish.items()):
+            job = self.view.jobs[ref]
+            if job.state != QUEUED:
+                del self.finish[ref]
+            elif at_us <= now_us and batch.changes < most:
+                self._finish(job, batch, wall_us)
+        for rec in batch.recs:
+            job = self.view.jobs[rec.spec.ref]
+            done = job.done
+            for other in self._recs_of(rec.spec):
+                if other in batch.recs or not other.dirty:
+                    done |= other.done
+            if done == job.spec.all_tasks and job.state == QUEUED and job.spec.kind != "service":
+                self._finish(job, batch, wall_us)
+        for key, (value, conditions) in list(self.outbox.items()):
+            if batch.changes >= most:
+                break
+            if value is None:
+                batch.deletes.append(key)
+            else:
+                batch.puts[key] = (value, None)
+            batch.conditions.update(conditions)
+            del self.outbox[key]
+        return batch if batch.changes else None
+
+    def _finish(self, job: Job, batch: Batch, wall_us: int) -> None:
+        key = f"j/{job.spec.ref}"
+        batch.conditions[key] = job.stamp
+        batch.puts[key] = (JobRec(job.spec, job.at_us, DONE, wall_us), None)
+        batch.done_jobs.append(job.spec.ref)
+
+    def _gather_rec(self, rec: Rec, batch: Batch) -> None:
+        job = self.view.jobs[rec.spec.ref]
+        new = [a for a in rec.attempts.values() if a.state == PLACING]
+        if new:
+            route = job.routes.get(self.part)
+            # Not routed here any more, or over: the records decide, not what was meant to start.
+            batch.conditions[route_key(self.part, rec.spec.ref)] = route.stamp if route else 0
+            batch.conditions[f"j/{rec.spec.ref}"] = job.stamp
+            for a in new:
+                batch.conditions[f"d/{a.machine}"] = 0
+        raw = msgspec.json.encode(rec.value())
+        batch.conditions[rec.key] = rec.stamp
+        batch.puts[rec.key] = (msgspec.Raw(raw), None)
+        batch.size += len(raw) + 600
+        batch.recs.append(rec)
+        batch.placed.extend(new)
+        for m in self.machines.values():
+            for key in m.pending_ends:
+                ref, number = split_task(key[0])
+                if ref == rec.spec.ref and number // CHUNK == rec.chunk:
+                    batch.ended.append((m.name, key))
+        rec.dirty = False
+        rec.inflight = True
+
+    def committed(self, batch: Batch, revision: int, actions: Actions) -> None:
+        """The group commit is in the state service: now its commands may be sent."""
+        for rec in batch.recs:
+            rec.inflight = False
+            rec.stamp = revision
+        for a in batch.placed:
+            if a.state != PLACING:
+                continue
+            ATTEMPT.move(a, PLACED)
+            if a.stop_grace_us is None:
+                actions.send(a.machine, ("start", a.name, a.number, None))
+        for name, key in batch.ended:
+            m = self.machines.get(name)
+            if m is not None and key in m.pending_ends:
+                m.pending_ends.discard(key)
+                if key not in m.attempts:
+                    m.reaps.add(key)
+                    if key not in m.open_directs:
+                        actions.send(name, ("forget", *key, None))
+        for ref in batch.done_jobs:
+            self.finish.pop(ref, None)
+
+    def rejected(self, batch: Batch, now_us: int, wall_us: int, unchanged: bool) -> None:
+        """The group commit was not applied, or may not have been. ``unchanged``: it certainly was not,
+        and nothing stands against it: write it again later. Otherwise, the view having been renewed,
+        everything in it is decided afresh."""
+        for rec in batch.recs:
+            rec.inflight = False
+            if unchanged:
+                rec.dirty = True
+            else:
+                self._reload(rec, now_us, wall_us)
+        for key, (value, _) in batch.puts.items():
+            if key.startswith(("m/", "d/")):
+                self.outbox.setdefault(key, (value, {}))
+        for key in batch.deletes:
+            self.outbox.setdefault(key, (None, {}))
+        if not unchanged:
+            # Ends that went with the batch and were not recorded are seen again in the next reports:
+            # their attempts are back, and nothing is reaped before its end is recorded.
+            for name, ended in batch.ended:
+                if (m := self.machines.get(name)) is not None:
+                    m.pending_ends.discard(ended)
--- /dev/null
+++ b/pearstep/core/placement.py
@@ -0,0 +1,249 @@
+"""Where tasks fit: types, zones, kinds of machine, images, and room that is kept for others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .model import EPS, US, MachineType, Room, Spec
+
+
+class Hold:
+    """Room kept on a machine from a time on, for a pivot."""
+
+    __slots__ = ("from_us", "spec", "count")
+
+    def __init__(self, from_us: int, spec: Spec, count: int) -> None:
+        self.from_us = from_us
+        self.spec = spec
+        self.count = count
+
+
+class Seat:
+    """A machine as the walk sees it: its free room, what ends when, and what is kept for pivots."""
+
+    __slots__ = ("name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "speed")
+
+    def __init__(
+        self,
+        name: str,
+        mtype: MachineType,
+        zone: str,
+        spot: bool,
+        room: Room,
+        images: Iterable[str] = (),
+        label: int = 0,
+        ends: list[tuple[int, Spec]] | None = None,
+    ) -> None:
+        self.name = name
+        self.mtype = mtype
+        self.zone = zone
+        self.spot = spot
+        self.room = room
+        self.images = images if isinstance(images, (set, frozenset, dict)) else set(images)
+        self.label = label
+        self.ends = ends if ends is not None else []
+        self.holds: list[Hold] = []
+
+    def allows(self, spec: Spec, zone: str | None = None) -> bool:
+        """Whether the job may use this machine at all."""
+        return (
+            (spec.types is None or self.mtype.name in spec.types)
+            and (spec.zone is None or spec.zone == self.zone)
+            and (zone is None or zone == self.zone)
+            and (spec.spot or not self.spot)
+        )
+
+    def room_at(self, at_us: int) -> Room:
+        """The room there will be once everything that ends by then has ended, less earlier holds."""
+        room = self.room.copy()
+        for end_us, spec in self.ends:
+            if end_us <= at_us:
+                room.take(spec, -1)
+        for hold in self.holds:
+            room.take(hold.spec, hold.count)
+        return room
+
+    def fits_now(self, spec: Spec, now_us: int, end_us: int) -> bool:
+        """Whether one task fits now and leaves every pivot its room at its time."""
+        if not self.room.fits(spec):
+            return False
+        late = [h for h in self.holds if end_us > h.from_us]
+        for hold in late:
+            room = self.room.copy()
+            for ends_us, other in self.ends:
+                if ends_us <= hold.from_us:
+                    room.take(other, -1)
+            for other_hold in self.holds:
+                if other_hold.from_us <= hold.from_us or other_hold is hold:
+                    room.take(other_hold.spec, other_hold.count)
+            if not room.fits(spec):
+                return False
+        return True
+
+    def start(self, spec: Spec, end_us: int) -> None:
+        """Use room for a task that is expected to end then."""
+        self.room.take(spec)
+        self.ends.append((end_us, spec))
+
+    def undo(self, spec: Spec, end_us: int) -> None:
+        """Take back a planned start."""
+        self.room.take(spec, -1)
+        self.ends.remove((end_us, spec))
+
+    def fetch_us(self, spec: Spec) -> int:
+        """How long the image fetch takes here, at the nominal rate."""
+        if spec.image in self.images or self.mtype.fetch_gb_per_s <= 0:
+            return 0
+        return int(spec.image_gb / self.mtype.fetch_gb_per_s * US)
+
+    def cost(self, spec: Spec, queue: int) -> tuple[float, ...]:
+        """How little this machine suits the task; the smallest is taken.
+
+        Machines with accelerators are spared by jobs that need none, then machines that hold the
+        image go first, then the queue's own partition, then the tightest fit.
+        """
+        return (
+            1.0 if self.mtype.gpus and not spec.gpus else 0.0,
+            self.fetch_us(spec) / US,
+            0.0 if self.label == queue else 1.0,
+            self.room.cpus + 8 * self.room.gpus,
+        )
+
+
+def zone_limit(spec: Spec) -> int:
+    """How many tasks of the job may be in one zone."""
+    return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+
+
+def choose(
+    spec: Spec, count: int, seats: list[Seat], queue: int, now_us: int, run_us: int, zone: str | None = None
+) -> list[Seat] | None:
+    """Machines for ``count`` tasks that start together now, or None.
+
+    A gang that must stay in one zone tries each; one that must scatter fills no zone beyond its limit.
+    """
+    able = [s for s in seats if s.allows(spec, zone) and s.room.fits(spec)]
+    if not able:
+        return None
+    if count == 1:
+        best = None
+        best_cost: tuple[float, ...] = ()
+        for seat in able:
+            cost = seat.cost(spec, queue)
+            if (best is None or cost < best_cost) and seat.fits_now(
+                spec, now_us, now_us + run_us + seat.fetch_us(spec)
+            ):
+                best, best_cost = seat, cost
+        return None if best is None else [best]
+    zones = sorted({s.zone for s in able}) if spec.one_zone else [None]
+    plans: list[tuple[float, list[Seat]]] = []
+    for only in zones:
+        there = [s for s in able if only is None or s.zone == only]
+        chosen = _fill(spec, count, there, queue, now_us, run_us)
+        if chosen is not None:
+            plans.append((max(s.fetch_us(spec) for s in chosen) + US * sum(
+                1 for s in chosen if s.mtype.gpus and not spec.gpus), chosen))
+    return min(plans, key=lambda p: p[0])[1] if plans else None
+
+
+def _fill(
+    spec: Spec, count: int, seats: list[Seat], queue: int, now_us: int, run_us: int
+) -> list[Seat] | None:
+    chosen: list[Seat] = []
+    ends: list[int] = []
+    per_zone: dict[str, int] = {}
+    most = zone_limit(spec)
+    for seat in sorted(seats, key=lambda s: s.cost(spec, queue)):
+        end_us = now_us + run_us + seat.fetch_us(spec)
+        while (
+            len(chosen) < count
+            and per_zone.get(seat.zone, 0) < most
+            and seat.fits_now(spec, now_us, end_us)
+        ):
+            seat.start(spec, end_us)
+            chosen.append(seat)
+            ends.append(end_us)
+            per_zone[seat.zone] = per_zone.get(seat.zone, 0) + 1
+        if len(chosen) == count:
+            break
+    for seat, end_us in zip(chosen, ends, strict=True):
+        seat.undo(spec, end_us)
+    return chosen if len(chosen) == count else None
+
+
+def _counts_at(spec: Spec, count: int, seats: list[Seat], at_us: int) -> list[tuple[Seat, int]] | None:
+    """Which machines could hold ``count`` tasks at that time, with how many on each."""
+    by_zone: dict[str | None, list[tuple[Seat, int]]] = {}
+    for seat in seats:
+        n = seat.room_at(at_us).how_many(spec, count)
+        if n:
+            by_zone.setdefault(seat.zone if spec.one_zone else None, []).append((seat, n))
+    most = zone_limit(spec)
+    for _, found in sorted(by_zone.items(), key=lambda kv: -sum(n for _, n in kv[1])):
+        plan: list[tuple[Seat, int]] = []
+        per_zone: dict[str, int] = {}
+        left = count
+        for seat, n in sorted(found, key=lambda sn: (sn[0].mtype.gpus > 0 and not spec.gpus, -sn[1])):
+            n = min(n, left, most - per_zone.get(seat.zone, 0))
+            if n > 0:
+                plan.append((seat, n))
+                left -= n
+                per_zone[seat.zone] = per_zone.get(seat.zone, 0) + n
+        if not left:
+            return plan
+    return None
+
+
+def reserve(
+    spec: Spec, count: int, seats: list[Seat], now_us: int, zone: str | None = None
+) -> int | None:
+    """Find the earliest time at which ``count`` tasks fit, keep that room, and return the time.
+
+    None if they never fit on these machines, however long one waits.
+    """
+    able = [s for s in seats if s.allows(spec, zone)]
+    times = sorted({end for s in able for end, _ in s.ends if end > now_us} | {now_us}
+                   | {h.from_us for s in able for h in s.holds if h.from_us > now_us})
+    if not able or _counts_at(spec, count, able, times[-1]) is None:
+        return None
+    lo, hi = 0, len(times) - 1
+    while lo < hi:
+        mid = (lo + hi) // 2
+        if _counts_at(spec, count, able, times[mid]) is None:
+            lo = mid + 1
+        else:
+            hi = mid
+    plan = _counts_at(spec, count, able, times[lo])
+    assert plan is not None
+    for seat, n in plan:
+        seat.holds.append(Hold(times[lo], spec, n))
+    return times[lo]
+
+
+def could_hold(spec: Spec, rooms: list[tuple[str, str, bool, Room]], count: int) -> bool:
+    """Whether machines with these types, zones, kinds and rooms could hold ``count`` tasks together."""
+    per_zone: dict[str, int] = {}
+    for mtype, zone, spot, room in rooms:
+        if (
+            (spec.types is None or mtype in spec.types)
+            and (spec.zone is None or spec.zone == zone)
+            and (spec.spot or not spot)
+        ):
+            per_zone[zone] = per_zone.get(zone, 0) + room.how_many(spec, count)
+    if not per_zone:
+        return False
+    if spec.one_zone:
+        return max(per_zone.values()) >= count
+    most = zone_limit(spec)
+    return sum(min(n, most) for n in per_zone.values()) >= count
+
+
+def type_allowed(spec: Spec, mtype: MachineType) -> bool:
+    """Whether a task of the job could ever run on an empty machine of this type."""
+    return (
+        (spec.types is None or mtype.name in spec.types)
+        and (spec.zone is None or spec.zone in mtype.zones)
+        and spec.cpus <= mtype.cpus + EPS
+        and spec.gpus <= mtype.gpus + EPS
+        and spec.memory_gb <= mtype.memory_gb + EPS
+    )
--- /dev/null
+++ b/pearstep/core/rec.py
@@ -0,0 +1,77 @@
+"""The owner's working copy of placement records, and the writes that carry it to the state service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .model import Spec
+from .records import CHUNK, Place, PlaceRec, place_key
+from .task import PLACED, PLACING, Attempt
+
+
+class Rec:
+    """Working copy of the placements of one chunk of a job's tasks."""
+
+    __slots__ = ("spec", "chunk", "key", "attempts", "done", "last", "stamp", "dirty", "inflight")
+
+    def __init__(self, part: int, spec: Spec, chunk: int) -> None:
+        self.spec = spec
+        self.chunk = chunk
+        self.key = place_key(part, spec.ref, chunk)
+        self.attempts: dict[int, Attempt] = {}
+        self.done = 0
+        self.last = 0
+        self.stamp = 0
+        self.dirty = False
+        self.inflight = False
+
+    def value(self) -> PlaceRec:
+        """The record as it should be stored."""
+        return PlaceRec(
+            run={
+                task: Place(a.machine, a.session, a.number, a.at_us) for task, a in self.attempts.items()
+            },
+            done=f"{self.done >> (self.chunk * CHUNK):x}",
+            last=self.last,
+        )
+
+    def load(self, rec: PlaceRec, stamp: int, now_us: int, wall_us: int) -> None:
+        """Take over the committed record; attempts that are known already keep what was heard."""
+        known = self.attempts
+        self.attempts = {}
+        for task, place in rec.run.items():
+            old = known.get(task)
+            if old is not None and (old.machine, old.number) == (place.machine, place.attempt):
+                if old.state == PLACING:
+                    old.state = PLACED
+                self.attempts[task] = old
+                continue
+            ago = max(wall_us - place.at_us, 0)
+            attempt = Attempt(
+                self.spec, task, place.machine, place.session, place.attempt, place.at_us, now_us - ago
+            )
+            attempt.state = PLACED
+            self.attempts[task] = attempt
+        self.done = int(rec.done, 16) << (self.chunk * CHUNK)
+        self.last = rec.last
+        self.stamp = stamp
+        self.dirty = False
+
+
+class Batch:
+    """A group commit: what is written, under which conditions, and what it settles."""
+
+    def __init__(self) -> None:
+        self.conditions: dict[str, int] = {}
+        self.puts: dict[str, tuple[Any, int | None]] = {}
+        self.deletes: list[str] = []
+        self.recs: list[Rec] = []
+        self.placed: list[Attempt] = []
+        self.ended: list[tuple[str, tuple[str, int]]] = []
+        self.done_jobs: list[str] = []
+        self.size = 0
+
+    @property
+    def changes(self) -> int:
+        """Puts and deletes."""
+        return len(self.puts) + len(self.deletes)
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -30,12 +30,13 @@
 
 
 class RouteRec(msgspec.Struct, omit_defaults=True):
-    """Tasks routed to a part. ``zone`` binds them; ``wide`` names machines chosen by the leader."""
+    """Tasks routed to a part, freely or bound to a zone. For a job wider than any part, ``wide`` names
+    the machines that the leader chose, and ``attempt`` the attempt that all parts start."""
 
-    tasks: str
-    zone: str | None = None
+    tasks: str = ""
+    zoned: dict[str, str] | None = None
     attempt: int = 0
-    wide: dict[str, str] | None = None
+    wide: dict[int, str] | None = None
 
 
 class Place(msgspec.Struct, array_like=True):
--- /dev/null
+++ b/pearstep/core/trouble.py
@@ -0,0 +1,73 @@
+"""Telling faulty machines from faulty jobs."""
+
+from __future__ import annotations
+
+from .model import US
+
+
+class Troubles:
+    """Counts failures by machine and by job.
+
+    A job that fails on several good machines backs off, and its failures condemn no machine. A machine
+    on which several jobs fail, or one that is known to run elsewhere, is sick.
+    """
+
+    def __init__(self, suspect_machines: int, sick_errors: int) -> None:
+        self.suspect_machines = suspect_machines
+        self.sick_errors = sick_errors
+        self.by_machine: dict[str, dict[str, int]] = {}
+        self.by_job: dict[str, set[str]] = {}
+        self.good_jobs: set[str] = set()
+        self.rest_until: dict[str, int] = {}
+        self.tries: dict[str, int] = {}
+        self.machine_rest: dict[str, int] = {}
+
+    def suspect(self, ref: str) -> bool:
+        """Whether the job itself is probably at fault."""
+        return ref not in self.good_jobs and len(self.by_job.get(ref, ())) >= self.suspect_machines
+
+    def failed(self, machine: str, ref: str, now_us: int) -> bool:
+        """A task failed; True if its machine now counts as sick."""
+        errors = self.by_machine.setdefault(machine, {})
+        errors[ref] = errors.get(ref, 0) + 1
+        self.by_job.setdefault(ref, set()).add(machine)
+        tries = self.tries[ref] = self.tries.get(ref, 0) + 1
+        if self.suspect(ref):
+            self.rest_until[ref] = now_us + min(2 ** min(tries, 5), 30) * US
+            return False
+        blamed = {r: n for r, n in errors.items() if not self.suspect(r)}
+        known_good = sum(n for r, n in blamed.items() if r in self.good_jobs)
+        if len(blamed) >= self.sick_errors or known_good >= self.sick_errors:
+            return True
+        # Until more is known the machine rests, so that it does not eat a whole array.
+        self.machine_rest[machine] = now_us + 5 * US
+        return False
+
+    def unknown(self, ref: str, now_us: int) -> None:
+        """A worker knows of no such job: its owner has not uploaded it; try again later."""
+        tries = self.tries[ref] = self.tries.get(ref, 0) + 1
+        self.rest_until[ref] = now_us + min(2 ** min(tries, 5), 30) * US
+
+    def refused(self, machine: str, ref: str, now_us: int) -> None:
+        """A worker refused a start: what is on it was counted wrongly; let it settle."""
+        self.machine_rest[machine] = now_us + 2 * US
+
+    def succeeded(self, machine: str, ref: str) -> None:
+        """A task completed: neither its job nor its machine is at fault."""
+        self.good_jobs.add(ref)
+        self.by_machine.pop(machine, None)
+        self.machine_rest.pop(machine, None)
+
+    def resting(self, machine: str, now_us: int) -> bool:
+        """Whether the machine is not to be used for now."""
+        return self.machine_rest.get(machine, 0) > now_us
+
+    def not_before(self, ref: str) -> int:
+        """When the job may be tried again."""
+        return self.rest_until.get(ref, 0)
+
+    def avoid(self, ref: str) -> frozenset[str]:
+        """Machines on which the job has failed, as long as that does not condemn the job."""
+        if self.suspect(ref):
+            return frozenset()
+        return frozenset(self.by_job.get(ref, ()))
--- /dev/null
+++ b/pearstep/core/view.py
@@ -0,0 +1,151 @@
+"""A replica of what the state service holds, kept up to date by its changes.
+
+It only ever goes forward: a change older than what is known of its key is ignored, so that answers
+may overlap and arrive in any order.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from .job import Job, Placed, Route
+from .model import from_ranges
+from .records import (
+    QUEUED,
+    DrainRec,
+    HireRec,
+    HolderRec,
+    JobRec,
+    MachineRec,
+    PlaceRec,
+    RouteRec,
+    decode,
+)
+
+
+class Holder:
+    """Who holds a part or the lead, and since which revision: the token."""
+
+    __slots__ = ("node", "stamp")
+
+    def __init__(self, node: str, stamp: int) -> None:
+        self.node = node
+        self.stamp = stamp
+
+
+class View:
+    """All committed records, by kind."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.stamps: dict[str, int] = {}
+        self.jobs: dict[str, Job] = {}
+        self.open: dict[str, Job] = {}
+        self.machines: dict[str, tuple[int, MachineRec]] = {}
+        self.drains: dict[str, DrainRec] = {}
+        self.hires: dict[str, HireRec] = {}
+        self.parts: dict[int, Holder] = {}
+        self.leader: Holder | None = None
+        self.orphans: dict[str, list[tuple[str, int, bytes | None]]] = {}
+        self.unreadable: list[str] = []
+
+    def stamp(self, key: str) -> int:
+        """The last known revision of a key, 0 if it does not exist."""
+        return self.stamps.get(key, 0)
+
+    def put(self, key: str, stamp: int, raw: bytes | memoryview, now_us: int) -> bool:
+        """Apply a put; False if it is old news."""
+        if stamp <= self.stamps.get(key, 0):
+            return False
+        rec = decode(key, raw)
+        if rec is None:
+            if key not in self.unreadable and len(self.unreadable) < 100:
+                self.unreadable.append(key)
+            return False
+        self.stamps[key] = stamp
+        self._apply(key, stamp, rec, now_us)
+        return True
+
+    def delete(self, key: str, stamp: int) -> bool:
+        """Apply a delete; False if it is old news."""
+        known = self.stamps.get(key, 0)
+        if not known or known >= stamp:
+            return False
+        del self.stamps[key]
+        kind, *path = key.split("/")
+        if kind == "r" and (job := self.jobs.get(path[1])):
+            job.routes.pop(int(path[0]), None)
+        elif kind == "p" and (job := self.jobs.get(path[1])):
+            job.places.pop((int(path[0]), int(path[2])), None)
+            self._index(job)
+        elif kind == "m":
+            self.machines.pop(path[1], None)
+        elif kind == "d":
+            self.drains.pop(path[0], None)
+        elif kind == "h":
+            self.hires.pop(path[0], None)
+        elif kind == "part":
+            self.parts.pop(int(path[0]), None)
+        elif kind == "leader":
+            self.leader = None
+        return True
+
+    def _apply(self, key: str, stamp: int, rec: object, now_us: int) -> None:
+        _, *path = key.split("/")
+        if isinstance(rec, JobRec):
+            job = self.jobs.get(path[0])
+            if job is None:
+                job = self.jobs[path[0]] = Job(rec, stamp, now_us)
+                # While the keys are listed, a job's routes and placements may be read before it.
+                for late_key, late_stamp, late in self.orphans.pop(path[0], ()):
+                    late_rec = decode(late_key, late or b"null")
+                    if late_rec is not None:
+                        self._apply(late_key, late_stamp, late_rec, now_us)
+            else:
+                job.update(rec, stamp)
+            self._index(job)
+        elif isinstance(rec, RouteRec):
+            job = self.jobs.get(path[1])
+            if job is None:
+                self._keep(path[1], key, stamp, rec)
+                return
+            zoned = {zone: from_ranges(text) for zone, text in (rec.zoned or {}).items()}
+            mask = from_ranges(rec.tasks)
+            for part_mask in zoned.values():
+                mask |= part_mask
+            job.routes[int(path[0])] = Route(rec, stamp, mask, zoned, now_us)
+        elif isinstance(rec, PlaceRec):
+            job = self.jobs.get(path[1])
+            if job is None:
+                self._keep(path[1], key, stamp, rec)
+                return
+            placed = Placed(rec, stamp, int(path[2]))
+            job.places[int(path[0]), int(path[2])] = placed
+            job.done |= placed.done
+            self._index(job)
+        elif isinstance(rec, MachineRec):
+            self.machines[path[1]] = (int(path[0]), rec)
+        elif isinstance(rec, DrainRec):
+            self.drains[path[0]] = rec
+        elif isinstance(rec, HireRec):
+            self.hires[path[0]] = rec
+        elif isinstance(rec, HolderRec):
+            if path:
+                self.parts[int(path[0])] = Holder(rec.node, stamp)
+            else:
+                self.leader = Holder(rec.node, stamp)
+
+    def _keep(self, ref: str, key: str, stamp: int, rec: RouteRec | PlaceRec) -> None:
+        self.orphans.setdefault(ref, []).append((key, stamp, msgspec.json.encode(rec)))
+
+    def _index(self, job: Job) -> None:
+        """Jobs that still need attention: not final, or with tasks that may still be somewhere."""
+        ref = job.spec.ref
+        if job.state == QUEUED or job.run:
+            self.open[ref] = job
+        else:
+            self.open.pop(ref, None)
+
+    def owner(self, part: int) -> Holder | None:
+        """Who holds a part."""
+        return self.parts.get(part)
--- /dev/null
+++ b/pearstep/settings.py
@@ -0,0 +1,235 @@
+"""Settings: the platform's TOML file, checked at start, and the operators' own YAML file."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import yaml
+from msgspec import Meta
+
+from .core.model import US, Team
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+
+
+class SettingsError(Exception):
+    """A setting is missing or wrong; the text is one line for the operator."""
+
+
+class Other(msgspec.Struct):
+    """Another controller node."""
+
+    node: str
+    peer_addr: str
+    location: str = ""
+
+
+class Endpoints(msgspec.Struct):
+    """Where the cloud and the state service are."""
+
+    cloud: str
+    state: str
+
+
+class TeamSettings(msgspec.Struct):
+    """A team's guarantee and limit."""
+
+    name: str
+    cpus: NotNegative = 0.0
+    cpus_max: NotNegative = 0.0
+    gpus: NotNegative = 0.0
+    gpus_max: NotNegative = 0.0
+
+
+class Objective(msgspec.Struct, rename={"cls": "class"}):
+    """An aim on starting or finishing."""
+
+    kind: str
+    within_s: float = 0.0
+    share: float = 0.0
+    cls: str = ""
+
+
+class WorkerSettings(msgspec.Struct):
+    """What workers do, and how long they wait."""
+
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateSettings(msgspec.Struct):
+    """Limits of the state service."""
+
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Count
+
+
+class CloudSettings(msgspec.Struct):
+    """Limits of the cloud."""
+
+    rps: Positive
+    list_lag_s: NotNegative
+
+
+class Resources(msgspec.Struct):
+    """What this process may use."""
+
+    cpu: Positive = 1.0
+    ram_mb: Positive = 256.0
+    fd_limit: Count = 1024
+
+
+class Params(msgspec.Struct):
+    """What all nodes have in common."""
+
+    nodes: Count
+    zones: list[str]
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    teams: list[TeamSettings] = []
+    objectives: list[Objective] = []
+    resources: Resources = msgspec.field(default_factory=Resources)
+    skew_ms: NotNegative = 0.0
+
+
+class Platform(msgspec.Struct):
+    """The file that the platform hands over."""
+
+    node: str
+    bind: str
+    endpoints: Endpoints
+    params: Params
+    location: str = ""
+    mesh_addr: str = ""
+    others: list[Other] = []
+
+
+class Backfilling(msgspec.Struct, forbid_unknown_fields=True):
+    """The design's own numbers; the defaults are those marked as ours in the design."""
+
+    bounds_s: list[Positive] = msgspec.field(default_factory=lambda: [100.0, 1000.0, 10_000.0])
+    initial_delay_s: NotNegative = 20.0
+    batch: Count = 100
+    threshold: NotNegative = 0.25
+    overrun: Positive = 0.25
+    backlog: Count = 400
+
+
+class Renting(msgspec.Struct, forbid_unknown_fields=True):
+    """When machines are rented and returned."""
+
+    idle_s: Positive = 40.0
+    most_at_once: Annotated[int, Meta(ge=1, le=50)] = 10
+    most_machines: Count = 400
+    settle_s: NotNegative = 2.0
+    refused_s: Positive = 15.0
+    boot_factor: Positive = 3.0
+    boot_margin_s: Positive = 15.0
+
+
+class Guarding(msgspec.Struct, forbid_unknown_fields=True):
+    """When something is taken for broken."""
+
+    silent_s: Positive = 10.0
+    sick_errors: Count = 2
+    suspect_machines: Count = 3
+    retry_after_s: Count = 1
+
+
+class Leading(msgspec.Struct, forbid_unknown_fields=True):
+    """Leases and pauses of the controllers among themselves."""
+
+    lease_s: Positive = 6.0
+    takeover_s: Positive = 3.0
+    step_ms: Positive = 50.0
+    follow_ms: Positive = 120.0
+
+
+class Tuning(msgspec.Struct, forbid_unknown_fields=True):
+    """The operators' own settings (YAML). Everything has a default."""
+
+    backfilling: Backfilling = msgspec.field(default_factory=Backfilling)
+    renting: Renting = msgspec.field(default_factory=Renting)
+    guarding: Guarding = msgspec.field(default_factory=Guarding)
+    leading: Leading = msgspec.field(default_factory=Leading)
+
+
+class Settings:
+    """Both files together, with times in microseconds where the code needs them."""
+
+    def __init__(self, platform: Platform, tuning: Tuning) -> None:
+        self.platform = platform
+        self.tuning = tuning
+        self.node = platform.node
+        params = platform.params
+        self.params = params
+        self.nodes = sorted({platform.node, *(o.node for o in platform.others)})
+        self.parts = len(self.nodes)
+        self.home = self.nodes.index(platform.node)
+        self.teams = {t.name: Team(t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max) for t in params.teams}
+        workers = params.workers
+        self.lease_us = int(workers.lease_s * US)
+        self.report_us = int(workers.report_s * US)
+        self.cancel_us = int(workers.cancel_s * US)
+        self.gang_peer_us = int(workers.gang_peer_s * US)
+
+
+def us(seconds: float) -> int:
+    """Seconds as whole microseconds."""
+    return int(seconds * US)
+
+
+def address(text: str) -> tuple[str, int]:
+    """Split 'host:port'."""
+    host, sep, port = text.rpartition(":")
+    if not sep or not host or not port.isdigit() or int(port) > 65535:
+        raise SettingsError(f"not an address of the form host:port: {text!r}")
+    return host, int(port)
+
+
+def _convert(data: Any, cls: type[Any], name: str) -> Any:
+    try:
+        return msgspec.convert(data, cls, strict=False)
+    except msgspec.ValidationError as err:
+        raise SettingsError(f"{name}: {err}") from None
+
+
+def load(config: str, tuning: str | None) -> Settings:
+    """Read and check both files; raise SettingsError with one line if anything is wrong."""
+    try:
+        data = tomllib.loads(Path(config).read_text())
+    except (OSError, ValueError) as err:
+        raise SettingsError(f"{config}: {err}") from None
+    platform = _convert(data, Platform, config)
+    name = tuning or os.environ.get("PEARSTEP_TUNING") or ""
+    raw: Any = {}
+    if name:
+        try:
+            raw = yaml.safe_load(Path(name).read_text()) or {}
+        except (OSError, yaml.YAMLError) as err:
+            raise SettingsError(f"{name}: {' '.join(str(err).split())}") from None
+    tuned = _convert(raw, Tuning, name)
+    bounds = tuned.backfilling.bounds_s
+    if len(bounds) != 3 or sorted(bounds) != bounds:
+        raise SettingsError(f"{name}: backfilling.bounds_s must be three ascending bounds")
+    for text in (platform.bind, platform.endpoints.cloud, platform.endpoints.state):
+        address(text)
+    if platform.mesh_addr:
+        address(platform.mesh_addr)
+    for other in platform.others:
+        address(other.peer_addr)
+    if platform.node in {o.node for o in platform.others}:
+        raise SettingsError(f"{config}: others names this node, {platform.node}")
+    return Settings(platform, tuned)
--- /dev/null
+++ b/pearstep/store.py
@@ -0,0 +1,155 @@
+"""The state service: transactions, leases, and a view of all keys that follows its changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from . import wire
+from .budget import IDLE, NORMAL, URGENT, Budget
+from .http import Client
+
+log = logging.getLogger("pearstep.store")
+
+_txn_answer = msgspec.json.Decoder(wire.TxnAnswer)
+_listing = msgspec.json.Decoder(wire.Listing)
+_changes = msgspec.json.Decoder(wire.Changes)
+_granted = msgspec.json.Decoder(wire.Granted)
+
+COMMITTED, CONFLICT, REFUSED, UNKNOWN, NO_LEASE = "committed", "conflict", "refused", "unknown", "no lease"
+
+
+class Outcome:
+    """How a transaction ended. UNKNOWN: it may have been applied, or may be applied later."""
+
+    __slots__ = ("state", "revision", "failed")
+
+    def __init__(self, state: str, revision: int = 0, failed: list[str] | None = None) -> None:
+        self.state = state
+        self.revision = revision
+        self.failed = failed or []
+
+
+class Store:
+    """One node's dealings with the state service."""
+
+    def __init__(
+        self, client: Client, addr: str, requests: Budget, writes: Budget, now_us: Callable[[], int]
+    ) -> None:
+        self._client = client
+        self._addr = addr
+        self._requests = requests
+        self._writes = writes
+        self._now_us = now_us
+        self.refused_since: int | None = None
+        self.last_ok_us = 0
+
+    async def _ask(
+        self, method: str, path: str, body: bytes | None = None, timeout_s: float = 3.0, urgency: int = NORMAL
+    ) -> tuple[int, bytes]:
+        await self._requests.take(1.0, urgency)
+        status, data = await self._client.fetch(self._addr, method, path, body, timeout_s)
+        if status in (503, 0):
+            if self.refused_since is None:
+                self.refused_since = self._now_us()
+                log.info("state service is away (%s on %s)", status, path)
+        elif status == 429:
+            self._requests.drain()
+            log.info("state service: too many requests (%s)", path)
+            await asyncio.sleep(random.uniform(0.05, 0.25))
+        else:
+            if self.refused_since is not None:
+                log.info("state service is back")
+            self.refused_since = None
+            self.last_ok_us = self._now_us()
+        return status, data
+
+    async def txn(
+        self,
+        conditions: dict[str, int],
+        puts: dict[str, tuple[Any, int | None]],
+        deletes: list[str] | None = None,
+        urgency: int = NORMAL,
+    ) -> Outcome:
+        """Apply a transaction; it is tried again only when it certainly was not executed."""
+        gone = deletes or []
+        body = wire.txn_body(conditions, puts, gone)
+        changes = len(puts) + len(gone)
+        for _ in range(5):
+            if changes:
+                await self._writes.take(changes, urgency)
+            status, data = await self._ask("POST", wire.TXN, body, urgency=urgency)
+            if status == 429:
+                self._writes.drain()
+                continue
+            break
+        try:
+            if status == 200:
+                return Outcome(COMMITTED, _txn_answer.decode(data).revision)
+            if status == 409:
+                answer = _txn_answer.decode(data)
+                return Outcome(CONFLICT, answer.revision, answer.failed)
+        except msgspec.MsgspecError:
+            return Outcome(UNKNOWN)
+        if status in (429, 503):
+            return Outcome(REFUSED)
+        if status == 400:
+            if b"lease" in data:
+                return Outcome(NO_LEASE)
+            log.error("transaction was malformed: %s", data[:200])
+            return Outcome(REFUSED)
+        return Outcome(UNKNOWN)
+
+    async def grant(self, ttl_ms: int) -> int | None:
+        """A new lease, or None."""
+        status, data = await self._ask("POST", wire.LEASES, wire.lease_body(ttl_ms), urgency=URGENT)
+        if status != 200:
+            return None
+        try:
+            return _granted.decode(data).lease
+        except msgspec.MsgspecError:
+            return None
+
+    async def renew(self, lease: int) -> bool | None:
+        """True if renewed, False if the lease is over, None if that is not known."""
+        status, _ = await self._ask("POST", f"{wire.LEASES}/{lease}/{wire.RENEW}", urgency=URGENT)
+        return True if status == 200 else False if status == 404 else None
+
+    async def list_all(self) -> tuple[list[wire.Pair], int] | None:
+        """All keys, page by page, and the revision of the first page: changes after it may or may not
+        be in later pages, and are read again afterwards."""
+        pairs: list[wire.Pair] = []
+        after: str | None = None
+        revision: int | None = None
+        while True:
+            path = wire.list_query("", after, 1000)
+            status, data = await self._ask("GET", path, urgency=URGENT, timeout_s=5)
+            if status != 200:
+                return None
+            try:
+                page = _listing.decode(data)
+            except msgspec.MsgspecError:
+                return None
+            pairs.extend(page.items)
+            if revision is None:
+                revision = page.revision
+            if not page.more or not page.items:
+                return pairs, revision
+            after = page.items[-1].key
+
+    async def changes(self, after: int, wait_ms: int, urgency: int = IDLE) -> wire.Changes | int:
+        """The changes after a revision, or the status if there are none to be had."""
+        status, data = await self._ask(
+            "GET", wire.changes_query(after, wait_ms), timeout_s=wait_ms / 1000 + 3, urgency=urgency
+        )
+        if status != 200:
+            return status
+        try:
+            return _changes.decode(data)
+        except msgspec.MsgspecError:
+            return 0
--- /dev/null
+++ b/pearstep/users.py
@@ -0,0 +1,204 @@
+"""The users' API: submissions, polls and cancellations, decided by any node through its own
+transaction, answered after it commits."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from tornado.httputil import HTTPServerRequest
+
+from . import wire
+from .budget import URGENT
+from .core.job import Job
+from .core.model import MachineType, Spec, Team
+from .core.placement import type_allowed
+from .core.records import CANCELLED, DONE, JobRec
+from .core.view import View
+from .http import Answer
+from .store import COMMITTED, CONFLICT, Outcome, Store
+
+log = logging.getLogger("pearstep.users")
+
+
+def never_runs(spec: Spec, teams: dict[str, Team], types: dict[str, MachineType]) -> str | None:
+    """Why the job can never run, or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return "unknown team"
+    if not any(type_allowed(spec, t) for t in types.values()):
+        return "a task fits no allowed machine type"
+    count = 1 if spec.kind == "array" else spec.tasks
+    if not team.within_limit(count * spec.cpus, count * spec.gpus):
+        return "more than the team's limit"
+    return None
+
+
+class Users:
+    """Answers users. Every request is answered at once: with what is certain, or with a 503 that says
+    when to come back."""
+
+    def __init__(
+        self, store: Store, view: View, teams: dict[str, Team], fresh: Callable[[], Awaitable[bool]],
+        apply: Callable[[str, int, object], None], wall_us: Callable[[], int], retry_after_s: int,
+        txn_ops: int,
+    ) -> None:  # fmt: skip
+        self.store = store
+        self.view = view
+        self.teams = teams
+        self.types: dict[str, MachineType] = {}
+        self.ready = False
+        self._fresh = fresh
+        self._apply = apply
+        self._wall_us = wall_us
+        self._retry = {"Retry-After": str(retry_after_s)}
+        self._most = txn_ops
+        self._queue: list[tuple[Spec, asyncio.Future[str]]] = []
+        self._flushing = False
+
+    def away(self, why: str) -> Answer:
+        """Cannot be decided now; come back."""
+        return 503, wire.error_answer(why), self._retry
+
+    async def handle(self, request: HTTPServerRequest) -> Answer | None:
+        """Answer a request, or None if the path is not one of the users'."""
+        path = request.path
+        if path == wire.JOBS:
+            if request.method != "POST":
+                return 405, wire.error_answer("method not allowed"), {"Allow": "POST"}
+            return await self.submit(request.body)
+        if not path.startswith(wire.JOBS + "/"):
+            return None
+        ref, _, end = path[len(wire.JOBS) + 1 :].partition("/")
+        if end == "":
+            if request.method != "GET":
+                return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
+            return await self.poll(ref)
+        if end == wire.CANCEL:
+            if request.method != "POST":
+                return 405, wire.error_answer("method not allowed"), {"Allow": "POST"}
+            return await self.cancel(ref)
+        return None
+
+    def _known(self, status: int, job: Job) -> Answer:
+        ref = job.spec.ref
+        if job.final:
+            stage = job.state
+            count = job.spec.tasks if stage == DONE else job.done.bit_count()
+            return status, wire.job_answer(ref, stage, count, 0), {}
+        running = job.run & ~job.done
+        stage = "running" if running else "queued"
+        return status, wire.job_answer(ref, stage, job.done.bit_count(), running.bit_count()), {}
+
+    async def _look(self, ref: str) -> Job | None | bool:
+        """The job by a view that is fresh enough to be told; False if there is no such view now.
+        Final states never change and may be told from memory."""
+        job = self.view.jobs.get(ref)
+        if job is not None and job.final:
+            return job
+        if not self.ready or not await self._fresh():
+            return False
+        return self.view.jobs.get(ref)
+
+    async def poll(self, ref: str) -> Answer:
+        """GET of a job."""
+        job = await self._look(ref)
+        if isinstance(job, bool):
+            return self.away("state not known now")
+        if job is None:
+            return 404, wire.error_answer("no such job"), {}
+        return self._known(200, job)
+
+    async def submit(self, body: bytes) -> Answer:
+        """POST of a job. A known id is answered before the rest is checked."""
+        if len(body) > wire.BODY_LIMIT:
+            return 413, wire.error_answer("body over 64 KiB"), {}
+        try:
+            ref = wire.peek_ref(body)
+        except wire.Malformed as err:
+            return 400, wire.error_answer(str(err)), {}
+        if ref in self.view.jobs:
+            job = await self._look(ref)
+            return self._known(200, job) if isinstance(job, Job) else self.away("state not known now")
+        try:
+            spec = wire.read_submission(body)
+            why = None
+        except wire.Malformed as err:
+            spec, why = None, (400, str(err))
+        if spec is not None:
+            if not self.ready or not self.types:
+                return self.away("not ready")
+            never = never_runs(spec, self.teams, self.types)
+            why = (422, never) if never else None
+        if why is not None:
+            # Another node may have accepted the id: its repeat is never refused.
+            job = await self._look(ref)
+            if isinstance(job, Job):
+                return self._known(200, job)
+            if job is False and self.ready:
+                return self.away("state not known now")
+            return why[0], wire.error_answer(why[1]), {}
+        assert spec is not None
+        verdict = await self._accept(spec)
+        if verdict == COMMITTED:
+            return 201, wire.job_answer(ref, "queued"), {}
+        if verdict == CONFLICT:
+            job = await self._look(ref)
+            if isinstance(job, Job):
+                return self._known(200, job)
+        return self.away("state service is away")
+
+    async def _accept(self, spec: Spec) -> str:
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._queue.append((spec, future))
+        if not self._flushing:
+            self._flushing = True
+            asyncio.ensure_future(self._flush())
+        return await future
+
+    async def _flush(self) -> None:
+        """Group commit of submissions: whatever arrives during one transaction goes with the next."""
+        try:
+            while self._queue:
+                group, self._queue = self._queue[: self._most], self._queue[self._most :]
+                group = [(s, f) for s, f in group if not f.done()]
+                recs = {f"j/{s.ref}": JobRec(s, self._wall_us()) for s, _ in group}
+                try:
+                    outcome = await self.store.txn(
+                        dict.fromkeys(recs, 0), {k: (v, None) for k, v in recs.items()}, urgency=URGENT
+                    )
+                except Exception:
+                    log.exception("submission failed")
+                    outcome = Outcome("unknown")
+                if outcome.state == COMMITTED:
+                    for key, rec in recs.items():
+                        self._apply(key, outcome.revision, rec)
+                for spec, future in group:
+                    if outcome.state == CONFLICT and f"j/{spec.ref}" not in outcome.failed and outcome.failed:
+                        self._queue.append((spec, future))
+                    elif not future.done():
+                        future.set_result(outcome.state)
+        finally:
+            self._flushing = False
+
+    async def cancel(self, ref: str) -> Answer:
+        """POST of a cancellation; a race with the job's end is decided by the transaction."""
+        for _ in range(4):
+            job = await self._look(ref)
+            if isinstance(job, bool):
+                return self.away("state not known now")
+            if job is None:
+                return 404, wire.error_answer("no such job"), {}
+            if job.final:
+                return 200, wire.job_answer(ref, job.state), {}
+            key = f"j/{ref}"
+            rec = JobRec(job.spec, job.at_us, CANCELLED, self._wall_us())
+            outcome = await self.store.txn({key: job.stamp}, {key: (rec, None)}, urgency=URGENT)
+            if outcome.state == COMMITTED:
+                self._apply(key, outcome.revision, rec)
+                log.info("cancelled %s", ref)
+                return 200, wire.job_answer(ref, CANCELLED), {}
+            if outcome.state != CONFLICT:
+                break
+        return self.away("state service is away")
--- /dev/null
+++ b/pearstep/workers.py
@@ -0,0 +1,103 @@
+"""Workers: their reports, and commands sent straight to them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from tornado.httputil import HTTPServerRequest
+
+from . import wire
+from .core.machine import Machine
+from .core.model import US
+from .core.owner import Actions, Order, Owner, ReportSeen, TaskSeen
+from .core.parts import part_of
+from .core.view import View
+from .http import Answer, Client
+
+log = logging.getLogger("pearstep.workers")
+
+MOST_ORDERS = 400
+
+
+def seen(report: wire.Report) -> ReportSeen:
+    """A report in the core's terms."""
+    notice = report.notice_s
+    return ReportSeen(
+        report.machine, report.addr, report.type, report.zone, report.spot, report.session, report.seq,
+        report.token, None if notice is None else int(max(notice, 0) * US),
+        [TaskSeen(t.task, t.attempt, t.state, t.why, bool(t.saved)) for t in report.tasks],
+    )
+
+
+class Workers:
+    """Takes reports to the owner of the machine's part, and its commands to the machine."""
+
+    def __init__(
+        self, client: Client, view: View, owners: dict[int, Owner], node: str, parts: int,
+        now_us: Callable[[], int], wall_us: Callable[[], int], kick: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.client = client
+        self.view = view
+        self.owners = owners
+        self.node = node
+        self.parts = parts
+        self.now_us = now_us
+        self.wall_us = wall_us
+        self.kick = kick
+
+    async def report(self, request: HTTPServerRequest) -> Answer:
+        """Answer a worker's report."""
+        if request.method != "POST":
+            return 405, wire.error_answer("method not allowed"), {"Allow": "POST"}
+        try:
+            report = wire.read_report(request.body)
+        except wire.Malformed as err:
+            log.error("malformed report: %s", err)
+            return 400, wire.error_answer(str(err)), {}
+        part = part_of(report.machine, self.parts)
+        owner = self.owners.get(part)
+        if owner is None or report.token > owner.token:
+            holder = self.view.parts.get(part)
+            if holder is None or holder.node == self.node:
+                return 503, wire.error_answer("nobody owns the part now"), {"Retry-After": "1"}
+            return 421, wire.elsewhere(holder.node), {}
+        now = self.now_us()
+        machine = owner.on_report(seen(report), now, self.wall_us())
+        if machine is None:
+            return 503, wire.error_answer("machine not usable"), {"Retry-After": "1"}
+        orders = owner.orders(machine)[:MOST_ORDERS]
+        owner.answered(machine, now)
+        self.kick()
+        return 200, wire.orders_body(owner.token, orders), {}
+
+    def perform(self, owner: Owner, actions: Actions) -> None:
+        """Send direct commands, each machine on its own."""
+        for name, orders in actions.sends.items():
+            machine = owner.machines.get(name)
+            if machine is not None:
+                asyncio.ensure_future(self._send(owner, machine, orders[:MOST_ORDERS]))
+
+    async def _send(self, owner: Owner, machine: Machine, orders: list[Order]) -> None:
+        owner.directs_sent(machine, orders)
+        session = machine.session
+        status, body = await self.client.fetch(
+            machine.addr, "POST", wire.COMMANDS, wire.orders_body(owner.token, orders, session), 4.0
+        )
+        if status not in (200, 409):
+            return
+        try:
+            report = wire.read_report(body)
+        except wire.Malformed as err:
+            log.error("malformed answer of %s: %s", machine.name, err)
+            return
+        if self.owners.get(owner.part) is not owner:
+            return
+        if machine.session == session:
+            owner.directs_answered(machine, orders)
+        if report.token <= owner.token:
+            owner.on_report(seen(report), self.now_us(), self.wall_us())
+            self.kick()
+            if status == 409 and not orders and report.session != session:
+                machine.probe_us = 0
