--- a/pearstep/core/machine.py
+++ b/pearstep/core/machine.py
@@ -34,7 +34,7 @@
     __slots__ = (
         "name", "mtype", "zone", "spot", "addr", "state", "session", "seq", "confirmed", "heard_us",
         "answered_us", "attempts", "reaps", "pending_ends", "strays", "images", "errors", "notice_us",
-        "why", "drain_us", "first_us", "probe_us", "bare", "open_directs",
+        "why", "drain_us", "delete_us", "probe_us", "open_directs",
     )  # fmt: skip
 
     def __init__(self, name: str, mtype: MachineType, zone: str, spot: bool, addr: str, now_us: int) -> None:
@@ -50,7 +50,6 @@
         self.confirmed = False
         self.heard_us = now_us
         self.answered_us = now_us
-        self.first_us = now_us
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.reaps: set[tuple[str, int]] = set()
         self.pending_ends: set[tuple[str, int]] = set()
@@ -62,7 +61,7 @@
         self.why = ""
         self.drain_us = 0
         self.probe_us = 0
-        self.bare = True
+        self.delete_us = 0
 
     def free(self) -> Room:
         """What is free, counting everything that may be on the machine as present."""
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -426,7 +426,7 @@
                 self._stop_whole(a, grace, now_us, actions)
             if m.attempts and now_us - m.drain_us < longest + 10 * US:
                 return
-        if now_us >= m.probe_us:
+        if now_us >= m.delete_us:
             MACHINE.move(m, mc.DELETING)
             actions.deletes.append(m.name)
 
@@ -461,7 +461,7 @@
         m = self.machines.get(name)
         if m is not None and m.state == mc.DELETING:
             MACHINE.move(m, mc.DRAINING)
-            m.probe_us = now_us + US
+            m.delete_us = now_us + US
         self.early_deletes[name] = now_us + US
 
     def deleted(self, name: str, now_us: int, wall_us: int) -> None:
--- /dev/null
+++ b/tests/test_formats.py
@@ -0,0 +1,164 @@
+"""Formats: sets of tasks, messages, stored records, settings."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearstep import settings, wire
+from pearstep.core.model import bits, from_ranges, to_ranges
+from pearstep.core.records import DECODERS, JobRec, Place, PlaceRec
+from pearstep.core.view import View
+
+from .world import spec
+
+MASKS = st.sets(st.integers(0, 3000), max_size=60).map(lambda s: sum(1 << n for n in s))
+
+
+@given(MASKS, st.integers(0, 500), st.integers(0, 400))
+def test_ranges_round_trip(mask, start, length):
+    mask |= ((1 << length) - 1) << start
+    assert from_ranges(to_ranges(mask)) == mask
+    assert sum(1 << n for n in bits(mask)) == mask
+
+
+def test_a_hundred_thousand_finished_tasks_are_short():
+    assert to_ranges((1 << 100_000) - 1) == "0-99999"
+
+
+GOOD = {
+    "ref": "req-000412", "cohort": "train", "holder": "vision", "shape": "gang", "rank": "high",
+    "parcels": 16, "vcpus": 8.0, "accelerators": 1.0, "memoryGb": 64.0, "bundle": "img-07", "sizeGb": 6.2,
+    "breeds": ["g8"], "plot": None, "together": True, "scatter": False, "windfall": True, "reckonS": 240.0,
+    "markS": 30.0, "stowS": 4.0, "dueS": 900.0,
+}  # fmt: skip
+
+
+def test_submission_is_read_into_the_cores_terms():
+    job = wire.read_submission(msgspec.json.encode({**GOOD, "unknown": [1]}))
+    assert (job.kind, job.priority, job.tasks, job.estimate_us) == ("gang", 1, 16, 240_000_000)
+    assert wire.read_submission(msgspec.json.encode({k: v for k, v in GOOD.items() if k != "plot"})) == job
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"ref": "job-1"}, {"ref": 7}, {"vcpus": -1}, {"vcpus": "8"}, {"parcels": 0}, {"parcels": 100_001},
+        {"parcels": 1.5}, {"rank": "urgent"}, {"shape": "pack"}, {"memoryGb": 1e9}, {"together": "yes"},
+        {"breeds": "g8"}, {"reckonS": None}, {"dueS": -1},
+    ],
+)  # fmt: skip
+def test_invalid_fields_are_refused(change):
+    with pytest.raises(wire.Malformed):
+        wire.read_submission(msgspec.json.encode({**GOOD, **change}))
+
+
+@pytest.mark.parametrize("field", sorted(set(GOOD) - {"breeds", "plot", "dueS"}))
+def test_missing_fields_are_refused(field):
+    with pytest.raises(wire.Malformed):
+        wire.read_submission(msgspec.json.encode({k: v for k, v in GOOD.items() if k != field}))
+
+
+@given(st.binary(max_size=60) | st.recursive(st.none() | st.integers() | st.text(), st.lists).map(
+    msgspec.json.encode))
+def test_garbage_is_malformed_and_never_a_crash(body):
+    for read in (wire.read_submission, wire.read_report, wire.peek_ref):
+        with pytest.raises(wire.Malformed):
+            read(body)
+
+
+PLACES = st.dictionaries(
+    st.integers(0, 16_383),
+    st.builds(Place, st.text(max_size=8), st.integers(1, 9), st.integers(1, 99), st.integers(0, 2**50)),
+    max_size=5,
+)
+
+
+@given(PLACES, st.integers(0, 2**64))
+def test_placement_records_round_trip(run, done):
+    rec = PlaceRec(run, f"{done:x}", 3)
+    assert DECODERS["p"].decode(msgspec.json.encode(rec)) == rec
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans()), min_size=1, max_size=12), st.randoms())
+def test_view_ends_alike_whatever_the_order_in_which_answers_overlap(changes, rng):
+    log = []
+    alive: set[str] = set()
+    for stamp, (n, put) in enumerate(changes, 1):
+        key = f"d/m{n}"
+        if put or key not in alive:
+            log.append((key, stamp, b'{"why":"%d","at_us":1}' % stamp))
+            alive.add(key)
+        else:
+            log.append((key, stamp, None))
+            alive.discard(key)
+    straight, overlapping = View(), View()
+    shuffled: list = []
+    for i in range(len(log)):
+        shuffled += log[max(0, i - rng.randint(0, 3)) : i + 1]  # answers repeat what was told before
+    for view, events in ((straight, log), (overlapping, shuffled)):
+        for key, stamp, raw in events:
+            if stamp <= view.revision:
+                continue
+            view.put(key, stamp, raw, 0) if raw else view.delete(key, stamp)
+            view.revision = stamp
+    assert straight.drains == overlapping.drains and straight.stamps == overlapping.stamps
+
+
+def test_final_state_is_never_taken_back():
+    view = View()
+    view.put("j/req-1", 5, msgspec.json.encode(JobRec(spec(), 1, "done", 2)), 0)
+    assert not view.put("j/req-1", 4, msgspec.json.encode(JobRec(spec(), 1)), 0)
+    assert view.jobs["req-1"].state == "done"
+
+
+TOML = """
+node = "n0"
+bind = "127.0.0.1:1"
+[endpoints]
+cloud = "127.0.0.1:2"
+state = "127.0.0.1:3"
+[params]
+nodes = 1
+zones = ["a"]
+new_field = true
+[params.workers]
+report_s = 2.0
+lease_s = 16.0
+gang_wait_s = 30.0
+gang_peer_s = 8.0
+cancel_s = 40.0
+[params.state]
+rps = 100
+write_rps = 40
+value_kb = 16
+txn_ops = 12
+[params.cloud]
+rps = 4
+list_lag_s = 5
+"""
+
+
+def test_settings_take_unknown_fields_and_name_wrong_ones(tmp_path):
+    good = tmp_path / "good.toml"
+    good.write_text(TOML)
+    assert settings.load(str(good), None).parts == 1
+    for old, new, word in (("rps = 100", "rps = -1", "rps"), ('bind = "127.0.0.1:1"', 'bind = "x"', "address"),
+                           ("lease_s = 16.0", "", "lease_s")):
+        bad = tmp_path / "bad.toml"
+        bad.write_text(TOML.replace(old, new, 1))
+        with pytest.raises(settings.SettingsError, match=word) as err:
+            settings.load(str(bad), None)
+        assert "\n" not in str(err.value)
+
+
+def test_tuning_is_checked(tmp_path):
+    good = tmp_path / "good.toml"
+    good.write_text(TOML)
+    tuning = tmp_path / "tuning.yaml"
+    tuning.write_text("backfilling: {initial_delay_s: 5}\n")
+    assert settings.load(str(good), str(tuning)).tuning.backfilling.initial_delay_s == 5
+    for text in ("backfilling: {no_such: 1}", "backfilling: {bounds_s: [5, 2, 9]}", "a: [", "renting: 3"):
+        tuning.write_text(text)
+        with pytest.raises(settings.SettingsError):
+            settings.load(str(good), str(tuning))
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,267 @@
+"""The owner's hazards: one place per task, takeover, late messages, cancellations, gangs."""
+
+from pearstep.core.model import US
+from pearstep.core.records import CANCELLED, DrainRec, JobRec, RouteRec
+
+from .world import World, spec
+
+
+def test_commands_follow_their_record():
+    w = World()
+    w.machine("m1")
+    w.submit(spec())
+    w.step()
+    assert w.report("m1") == []  # decided, not recorded: nothing may be commanded
+    actions = w.commit()
+    assert w.starts(actions) == {("m1", "req-1/0", 1), ("m1", "req-1/1", 2)}
+    assert {o[1] for o in w.report("m1") if o[0] == "start"} == {"req-1/0", "req-1/1"}
+
+
+def test_job_is_done_in_the_same_transaction_as_its_last_task_and_reaped_afterwards():
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    w.report("m1", ("req-1/0", 1, "running"))
+    assert w.report("m1", ("req-1/0", 1, "exited", "done")) == []  # not recorded yet: no reap
+    w.run()
+    assert w.view.jobs["req-1"].state == "done"
+    assert ("forget", "req-1/0", 1, None) in w.report("m1", ("req-1/0", 1, "exited", "done"))
+
+
+def test_silence_frees_nothing_before_the_lease_has_certainly_run_out():
+    w = World(silent_us=1000 * US)
+    w.machine("m1")
+    w.machine("m2")
+    w.submit(spec(tasks=1))
+    (machine, _, _), = w.starts(w.run())
+    w.report(machine, ("req-1/0", 1, "running"))
+    other = "m2" if machine == "m1" else "m1"
+    w.later(15)
+    w.report(other)
+    assert not w.starts(w.run())
+    w.later(3)
+    w.report(other)
+    assert {m for m, _, _ in w.starts(w.run())} == {other}
+
+
+def test_machine_that_has_not_seen_our_token_is_not_freed_by_time():
+    w = World(silent_us=1000 * US)
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    w.take_over()
+    w.later(500)
+    w.machine("m2")
+    assert not w.starts(w.run())
+    w.report("m1", session=2)  # a later session: the worker has killed everything
+    assert {n for _, _, n in w.starts(w.run())} == {2}
+
+
+def test_unreachable_machine_is_recorded_as_lost_then_deleted_then_freed():
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    w.take_over()
+    w.machine("m2")
+    w.later(11)
+    w.report("m2")
+    w.run()
+    assert w.view.drains["m1"].why == "lost"
+    assert w.step().deletes == ["m1"]
+    assert not w.starts(w.run())
+    w.owner.deleted("m1", w.now, w.now)
+    w.report("m2")
+    assert {m for m, _, _ in w.starts(w.run())} == {"m2"}
+    assert w.report("m1", ("req-1/0", 1, "running")) == []  # a report that was held back
+
+
+def test_late_report_changes_nothing():
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    w.report("m1", ("req-1/0", 1, "running"), seq=9)
+    w.report("m1", ("req-1/0", 1, "exited", "done"), seq=8)
+    w.run()
+    assert w.view.jobs["req-1"].state == "queued"
+
+
+def test_attempt_with_an_open_direct_start_is_neither_missed_nor_reaped():
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    m = w.owner.machines["m1"]
+    w.owner.directs_sent(m, [("start", "req-1/0", 1, None)])
+    w.put("j/req-1", JobRec(spec(tasks=1), w.now, CANCELLED, w.now))
+    w.step()
+    w.report("m1")  # without the task: but the start may still be executed
+    assert m.attempts
+    w.report("m1", ("req-1/0", 1, "exited", "stopped"))
+    w.run()
+    assert w.report("m1", ("req-1/0", 1, "exited", "stopped")) == []
+    w.owner.directs_answered(m, [("start", "req-1/0", 1, None)])
+    assert w.report("m1", ("req-1/0", 1, "exited", "stopped")) == [("forget", "req-1/0", 1, None)]
+
+
+def test_cancelled_task_is_stopped_and_its_machine_deleted_if_it_cannot_confirm():
+    w = World(silent_us=1000 * US)
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    w.report("m1", ("req-1/0", 1, "running"))
+    w.put("j/req-1", JobRec(spec(tasks=1), w.now, CANCELLED, w.now))
+    assert ("stop", "req-1/0", 1, 0.0) in w.step().sends["m1"]
+    w.later(21)
+    w.report("m1", ("req-1/0", 1, "running"))
+    w.run()
+    assert w.view.drains["m1"].why == "stuck"
+    assert w.step().deletes == ["m1"]
+
+
+def test_placement_loses_against_a_cancellation_that_commits_first():
+    w = World()
+    w.machine("m1")
+    w.submit(spec())
+    w.step()
+    w.ledger.txn({}, {"j/req-1": JobRec(spec(), w.now, CANCELLED, w.now)})
+    assert not w.starts(w.commit())
+    assert not w.owner.machines["m1"].attempts
+
+
+def test_placement_loses_against_a_drain_and_against_a_moved_route():
+    w = World()
+    w.machine("m1")
+    w.submit(spec())
+    w.step()
+    w.ledger.txn({}, {"d/m1": DrainRec("idle", w.now)})
+    assert not w.starts(w.commit())
+    w = World()
+    w.machine("m1")
+    w.submit(spec())
+    w.step()
+    w.ledger.txn({}, {"r/0/req-1": RouteRec("")})
+    assert not w.starts(w.commit())
+
+
+def test_lost_answer_of_a_commit_is_settled_by_reading():
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.step()
+    batch = w.owner.gather(w.now, w.now)
+    w.ledger.txn(batch.conditions, {k: v for k, (v, _) in batch.puts.items()})
+    w.catch_up()
+    w.owner.rejected(batch, w.now, w.now, unchanged=False)
+    assert [o[0] for o in w.report("m1")] == ["start"]  # it was applied: the start is owed
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.step()
+    late = w.owner.gather(w.now, w.now)
+    w.owner.rejected(late, w.now, w.now, unchanged=False)
+    w.run()  # decided afresh and written
+    assert isinstance(w.ledger.txn(late.conditions, {k: v for k, (v, _) in late.puts.items()}), list)
+
+
+def test_gang_with_a_hole_is_stopped_whole_and_restarted_with_the_next_attempt():
+    w = World(silent_us=1000 * US)
+    for name in ("m1", "m2"):
+        w.machine(name)
+    w.submit(spec(kind="gang", cpus=20.0, one_zone=True))
+    starts = w.starts(w.run())
+    assert {n for _, _, n in starts} == {1} and {m for m, _, _ in starts} == {"m1", "m2"}
+    at = {m: name for m, name, _ in starts}
+    for m, name in at.items():
+        w.report(m, (name, 1, "running"))
+    w.report("m1", session=2)
+    assert ("stop", at["m2"], 1, 0.0) in w.step().sends["m2"]
+    assert not w.starts(w.run())
+    w.report("m2", (at["m2"], 1, "exited", "peers"))
+    assert {n for _, _, n in w.starts(w.run())} == {2}
+
+
+def test_gang_is_done_when_one_task_is_and_mates_keep_their_place_until_they_exit():
+    w = World()
+    for name in ("m1", "m2"):
+        w.machine(name)
+    w.submit(spec(kind="gang", cpus=20.0))
+    at = {m: name for m, name, _ in w.starts(w.run())}
+    w.report("m1", (at["m1"], 1, "exited", "done"))
+    w.run()
+    assert w.view.jobs["req-1"].state == "done"
+    assert w.owner.machines["m2"].free().cpus == 12
+
+
+def test_spot_notice_saves_the_whole_gang_in_time():
+    w = World()
+    for name in ("m1", "m2"):
+        w.machine(name)
+    w.submit(spec(kind="gang", cpus=20.0))
+    at = {m: name for m, name, _ in w.starts(w.run())}
+    for m, name in at.items():
+        w.report(m, (name, 1, "running"))
+    w.report("m1", (at["m1"], 1, "running"), notice=20 * US)
+    w.run()
+    sends = w.step().sends
+    assert sends["m1"][0][:3] == ("stop", at["m1"], 1) and sends["m1"][0][3] >= 2
+    assert sends["m2"][0][:3] == ("stop", at["m2"], 1) and sends["m2"][0][3] >= 2
+
+
+def test_stranger_on_a_machine_is_stopped_and_not_started_elsewhere():
+    w = World()
+    w.machine("m1")
+    w.machine("m2")
+    orders = w.report("m1", ("req-1/0", 7, "running"))
+    assert orders == [("stop", "req-1/0", 7, 0.0)]
+    w.submit(spec(tasks=1))
+    assert not w.starts(w.run())
+    w.report("m1")
+    assert w.starts(w.run())
+
+
+def test_second_new_owner_continues_what_the_first_recorded():
+    w = World()
+    w.machine("m1")
+    w.submit(spec())
+    w.run()
+    w.take_over()
+    orders = w.report("m1", ("req-1/0", 1, "running"))
+    assert orders == [("start", "req-1/1", 2, None)]
+
+
+def test_machines_of_a_zone_that_fall_silent_together_are_not_deleted():
+    w = World()
+    for n in range(4):
+        w.machine(f"m{n}", zone="b")
+    w.machine("x", zone="a")
+    w.later(11)
+    w.run()
+    assert set(w.view.drains) == {"x"}
+
+
+def test_errors_of_several_jobs_condemn_the_machine_but_a_faulty_job_condemns_none():
+    w = World()
+    for n in range(4):
+        w.machine(f"m{n}")
+    for ref in ("req-1", "req-2"):
+        w.submit(spec(ref, tasks=1, types=("small",)))
+    w.run()
+    for ref in ("req-1", "req-2"):
+        a = next(a for m in w.owner.machines.values() for a in m.attempts.values() if a.spec.ref == ref)
+        w.owner._end(w.owner.machines["m0"], a, "error", w.now, w.now)
+    w.run()
+    assert w.view.drains["m0"].why == "sick"
+    w = World()
+    for n in range(5):
+        w.machine(f"m{n}")
+    w.submit(spec(tasks=1))
+    for _ in range(6):
+        w.later(40)
+        for n in range(5):
+            w.report(f"m{n}")
+        for m, name, number in w.starts(w.run()):
+            w.report(m, (name, number, "exited", "error"))
+    assert not w.view.drains and len(w.owner.troubles.by_job["req-1"]) >= 3
