Backfill: pivots that stand go before new ones, and kept room ends with its pivot

Cause, found by the property test of the design's main promise: (1) a job that became pivot later but arrived earlier took the room of a standing pivot of another queue; (2) an array started all its tasks before the other queues' pivots had their room; (3) kept room had no end, so that a later pivot counted as fitting nowhere. Ruled out: the estimates, which are exact in the test.

--- a/pearstep/core/backfill.py
+++ b/pearstep/core/backfill.py
@@ -60,6 +60,9 @@
         self.bounds_us = bounds_us
         self.labels: dict[str, int] = {}
         self.pivots: dict[int, tuple[str, int]] = {}
+        # Pivots in the order in which they became pivots: one that has its time already goes before a
+        # new pivot of another queue, even if that arrived earlier.
+        self.standing: list[tuple[str, int]] = []
         self.blocked: list[Item] = []
         self._next_label = 0
 
@@ -97,28 +100,44 @@
         starts: list[Start] = []
         self.pivots = {}
         self.blocked = []
-        heads = [(q[0].order, n) for n, q in enumerate(queues) if q]
+        standing = self.standing
+        self.standing = []
+
+        def rank(item: Item) -> tuple[int, tuple[int, int, str]]:
+            pivot = (item.spec.ref, item.tasks[0])
+            return (standing.index(pivot) if pivot in standing else len(standing), item.order)
+
+        # A job that fits nowhere may stand before a queue's pivot without being one.
+        heads = [(min(rank(i) for i in q), n) for n, q in enumerate(queues) if q]
         heapq.heapify(heads)
         at = [0] * QUEUES
         while heads:
             _, n = heapq.heappop(heads)
             item = queues[n][at[n]]
-            if self._start_all(item, seats, now_us, starts):
+            first = item.tasks[0]
+            # Of an array only the first task is the pivot; the next one lines up behind the others.
+            if self._start_all(item, seats, now_us, starts, 1 if heads else None):
                 at[n] += 1
                 if at[n] < len(queues[n]):
-                    heapq.heappush(heads, (queues[n][at[n]].order, n))
+                    heapq.heappush(heads, (rank(queues[n][at[n]]), n))
+                continue
+            if item.tasks[0] != first and heads:
+                heapq.heappush(heads, (rank(item), n))
                 continue
             count = len(item.tasks) if item.spec.kind == "gang" else 1
-            pivot_us = reserve(item.spec, count, self._open(item, seats), now_us, item.zone)
+            pivot_us = reserve(
+                item.spec, count, self._open(item, seats), now_us, item.run_us, item.zone
+            )
             self.blocked.append(item)
             if pivot_us is None:
                 # It fits nowhere here, now or later: the leader finds it another part or rents for it.
                 # It is no pivot, for nothing could delay it, and the next job takes its place.
                 at[n] += 1
                 if at[n] < len(queues[n]):
-                    heapq.heappush(heads, (queues[n][at[n]].order, n))
+                    heapq.heappush(heads, (rank(queues[n][at[n]]), n))
             else:
                 self.pivots[n] = (item.spec.ref, pivot_us)
+                self.standing.append((item.spec.ref, item.tasks[0]))
         rest = [i for n, q in enumerate(queues) for i in q[at[n] + 1 :]]
         for item in sorted(rest, key=lambda i: i.order):
             if not self._start_all(item, seats, now_us, starts):
@@ -128,12 +147,18 @@
     def _open(self, item: Item, seats: list[Seat]) -> list[Seat]:
         return [s for s in seats if s.name not in item.avoid] if item.avoid else seats
 
-    def _start_all(self, item: Item, seats: list[Seat], now_us: int, starts: list[Start]) -> bool:
-        """Start as much of the item as can start now; True if nothing of it is left."""
+    def _start_all(
+        self, item: Item, seats: list[Seat], now_us: int, starts: list[Start], most: int | None = None
+    ) -> bool:
+        """Start as much of the item as can start now, or ``most``; True if nothing of it is left."""
         seats = self._open(item, seats)
         spec = item.spec
         together = spec.kind == "gang"
+        begun = 0
         while item.tasks:
+            if begun == most:
+                return False
+            begun += 1
             count = len(item.tasks) if together else 1
             chosen = choose(spec, count, seats, item.queue, now_us, item.run_us, item.zone)
             if chosen is None:
--- a/pearstep/core/placement.py
+++ b/pearstep/core/placement.py
@@ -8,12 +8,13 @@
 
 
 class Hold:
-    """Room kept on a machine from a time on, for a pivot."""
+    """Room kept on a machine for a pivot, while it is expected to run."""
 
-    __slots__ = ("from_us", "spec", "count")
+    __slots__ = ("from_us", "until_us", "spec", "count")
 
-    def __init__(self, from_us: int, spec: Spec, count: int) -> None:
+    def __init__(self, from_us: int, until_us: int, spec: Spec, count: int) -> None:
         self.from_us = from_us
+        self.until_us = until_us
         self.spec = spec
         self.count = count
 
@@ -53,28 +54,30 @@
             and (spec.spot or not self.spot)
         )
 
-    def room_at(self, at_us: int) -> Room:
-        """The room there will be once everything that ends by then has ended, less earlier holds."""
+    def room_at(self, at_us: int, run_us: int) -> Room:
+        """The room for something that begins then: what ends by then has ended, and what is kept for
+        others at any time while it runs is not there."""
         room = self.room.copy()
         for end_us, spec in self.ends:
             if end_us <= at_us:
                 room.take(spec, -1)
         for hold in self.holds:
-            room.take(hold.spec, hold.count)
+            if hold.from_us < at_us + run_us and hold.until_us > at_us:
+                room.take(hold.spec, hold.count)
         return room
 
     def fits_now(self, spec: Spec, now_us: int, end_us: int) -> bool:
         """Whether one task fits now and leaves every pivot its room at its time."""
         if not self.room.fits(spec):
             return False
-        late = [h for h in self.holds if end_us > h.from_us]
+        late = [h for h in self.holds if end_us > h.from_us and h.until_us > now_us]
         for hold in late:
             room = self.room.copy()
             for ends_us, other in self.ends:
                 if ends_us <= hold.from_us:
                     room.take(other, -1)
             for other_hold in self.holds:
-                if other_hold.from_us <= hold.from_us or other_hold is hold:
+                if other_hold.from_us <= hold.from_us < other_hold.until_us:
                     room.take(other_hold.spec, other_hold.count)
             if not room.fits(spec):
                 return False
@@ -171,11 +174,13 @@
     return chosen if len(chosen) == count else None
 
 
-def _counts_at(spec: Spec, count: int, seats: list[Seat], at_us: int) -> list[tuple[Seat, int]] | None:
+def _counts_at(
+    spec: Spec, count: int, seats: list[Seat], at_us: int, run_us: int
+) -> list[tuple[Seat, int]] | None:
     """Which machines could hold ``count`` tasks at that time, with how many on each."""
     by_zone: dict[str | None, list[tuple[Seat, int]]] = {}
     for seat in seats:
-        n = seat.room_at(at_us).how_many(spec, count)
+        n = seat.room_at(at_us, run_us).how_many(spec, count)
         if n:
             by_zone.setdefault(seat.zone if spec.one_zone else None, []).append((seat, n))
     most = zone_limit(spec)
@@ -195,7 +200,7 @@
 
 
 def reserve(
-    spec: Spec, count: int, seats: list[Seat], now_us: int, zone: str | None = None
+    spec: Spec, count: int, seats: list[Seat], now_us: int, run_us: int, zone: str | None = None
 ) -> int | None:
     """Find the earliest time at which ``count`` tasks fit, keep that room, and return the time.
 
@@ -203,21 +208,16 @@
     """
     able = [s for s in seats if s.allows(spec, zone)]
     times = sorted({end for s in able for end, _ in s.ends if end > now_us} | {now_us}
-                   | {h.from_us for s in able for h in s.holds if h.from_us > now_us})
-    if not able or _counts_at(spec, count, able, times[-1]) is None:
+                   | {h.until_us for s in able for h in s.holds if h.until_us > now_us})
+    if not able or _counts_at(spec, count, able, times[-1], run_us) is None:
         return None
-    lo, hi = 0, len(times) - 1
-    while lo < hi:
-        mid = (lo + hi) // 2
-        if _counts_at(spec, count, able, times[mid]) is None:
-            lo = mid + 1
-        else:
-            hi = mid
-    plan = _counts_at(spec, count, able, times[lo])
-    assert plan is not None
-    for seat, n in plan:
-        seat.holds.append(Hold(times[lo], spec, n))
-    return times[lo]
+    for at_us in times:
+        plan = _counts_at(spec, count, able, at_us, run_us)
+        if plan is not None:
+            for seat, n in plan:
+                seat.holds.append(Hold(at_us, at_us + run_us, spec, n))
+            return at_us
+    return None
 
 
 def could_hold(spec: Spec, rooms: list[tuple[str, str, bool, Room]], count: int) -> bool:
