--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -86,6 +86,7 @@
             puts.update(more)
             conditions.update(when)
         if puts:
+            log.debug("routing %s", " ".join(puts))
             await self._write(puts, conditions)
 
     async def tend_fleet(self) -> None:
--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -400,6 +400,9 @@
                 actions = Actions()
                 if outcome.state == COMMITTED:
                     owner.committed(batch, outcome.revision, actions)
+                    for a in batch.placed:
+                        log.debug("placed %s try %d on %s, image %s %s", a.name, a.number, a.machine,
+                                  a.spec.image, a.spec.cls)
                     for key, (value, _) in batch.puts.items():
                         self.applied(key, outcome.revision, value)
                     for key in batch.deletes:
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -17,7 +17,7 @@
 class Slot:
     """A machine's free room as the records show it, while routes are planned."""
 
-    __slots__ = ("name", "part", "mtype", "zone", "spot", "room", "usable")
+    __slots__ = ("name", "part", "mtype", "zone", "spot", "room", "usable", "lower")
 
     def __init__(
         self, name: str, part: int, mtype: MachineType, zone: str, spot: bool, room: Room, usable: bool
@@ -29,6 +29,7 @@
         self.spot = spot
         self.room = room
         self.usable = usable
+        self.lower: list[Spec] = []
 
     def allows(self, spec: Spec, zone: str | None) -> bool:
         """Whether the job may use this machine."""
@@ -65,11 +66,15 @@
         masks[zone] = masks.get(zone, 0) | task_mask
         self.changed.add(part)
 
-    def remove(self, part: int, task_mask: int) -> None:
-        """Take tasks back from a part."""
+    def take_back(self, part: int, task_mask: int) -> None:
+        """Withdraw a part's permission; what is placed already is stopped by its owner."""
         for zone in self.masks[part]:
             self.masks[part][zone] &= ~task_mask
         self.changed.add(part)
+
+    def remove(self, part: int, task_mask: int) -> None:
+        """Take tasks back from a part that must not have placed them."""
+        self.take_back(part, task_mask)
         self.moved = True
 
     def writes(self) -> tuple[dict[str, RouteRec], dict[str, int]]:
@@ -106,6 +111,7 @@
         self.teams = teams
         self.parts = parts
         self.backlog = backlog
+        self.held: dict[str, int] = {}
         self.unplaced: list[tuple[Job, int]] = []
         self.placeless: list[tuple[Job, int]] = []
 
@@ -124,6 +130,7 @@
                     slot = slots.get(place.machine)
                     if slot is not None:
                         slot.room.take(job.spec)
+                        slot.lower.append(job.spec)
         return list(slots.values())
 
     def usage(self) -> dict[str, tuple[float, float]]:
@@ -152,13 +159,58 @@
         load = {p: 0.0 for p in by_part}
         self.unplaced = []
         self.placeless = []
-        out: list[Routing] = []
+        self.held = {}
+        routings: dict[str, Routing] = {}
         for job in self.ordered():
-            routing = Routing(job)
+            routing = routings[job.spec.ref] = Routing(job)
             self._plan_job(job, routing, by_part, usage, load, now_us, settle_us)
-            if routing.changed:
-                out.append(routing)
-        return out
+        self._withdraw(routings)
+        return [r for r in routings.values() if r.changed]
+
+    def _hold(self, spec: Spec) -> None:
+        """The team's limit keeps this job waiting: its lower-priority work gets no more room."""
+        self.held[spec.team] = min(self.held.get(spec.team, spec.priority), spec.priority)
+
+    def _withdraw(self, routings: dict[str, Routing]) -> None:
+        """Make room within a team's limit for a job of higher priority: take routes back, first of what
+        is not placed, then of what was placed last. An owner stops what it may no longer place."""
+        for team, priority in self.held.items():
+            wanted = next(
+                (r.job for r in routings.values()
+                 if r.job.spec.team == team and r.job.spec.priority == priority and not r.job.routed), None
+            )  # fmt: skip
+            limit = self.teams.get(team)
+            if wanted is None or limit is None:
+                continue
+            need = wanted.spec.tasks if wanted.spec.kind == "gang" else 1
+            cpus, gpus = need * wanted.spec.cpus, need * wanted.spec.gpus
+            lower: list[tuple[int, int, Routing, int, int]] = []
+            for routing in routings.values():
+                job = routing.job
+                spec = job.spec
+                if spec.team != team:
+                    continue
+                leaving = job.run & ~job.routed
+                stays = job.using() & ~leaving
+                cpus += stays.bit_count() * spec.cpus
+                gpus += stays.bit_count() * spec.gpus
+                if spec.priority <= priority or spec.kind == "gang" or routing.changed:
+                    continue
+                placed_at = {
+                    task: place.at_us for p in job.places.values() for task, place in p.rec.run.items()
+                }
+                for part, route in job.routes.items():
+                    lower.extend(
+                        (-spec.priority, -placed_at.get(task, 1 << 62), routing, part, task)
+                        for task in bits(route.mask & ~job.done)
+                    )
+            lower.sort(key=lambda v: v[:2])
+            for _, _, routing, part, task in lower:
+                if limit.within_limit(cpus, gpus):
+                    break
+                routing.take_back(part, 1 << task)
+                cpus -= routing.job.spec.cpus
+                gpus -= routing.job.spec.gpus
 
     def _plan_job(
         self, job: Job, routing: Routing, by_part: dict[int, list[Slot]],
@@ -195,7 +247,7 @@
         if short > moved:
             self.unplaced.append((job, short - moved))
         unrouted = spec.all_tasks & ~job.done & ~job.routed & ~run
-        if unrouted:
+        if unrouted and spec.priority <= self.held.get(spec.team, spec.priority):
             self._route_new(job, routing, unrouted, by_part, usage, load)
 
     def _pack(self, spec: Spec, count: int, slots: list[Slot], zone: str | None) -> int:
@@ -309,6 +361,7 @@
         for task in bits(window):
             if not self._within_limit(spec, 1, usage):
                 # Renting would not help: the team's limit holds the rest back.
+                self._hold(spec)
                 return
             zone = self._zone_choice(job, used, by_part) if bound else None
             if zone == "":
@@ -347,7 +400,11 @@
         if run or job.done:
             return
         here = next((p for p, r in job.routes.items() if r.mask), None)
-        if here is None and not self._within_limit(spec, spec.tasks, usage):
+        if here is None and (
+            spec.priority > self.held.get(spec.team, spec.priority)
+            or not self._within_limit(spec, spec.tasks, usage)
+        ):
+            self._hold(spec)
             return
         fit_now = [p for p, slots in by_part.items() if could_hold(spec, _rooms(slots), spec.tasks)]
         route: Route | None = job.routes.get(here) if here is not None else None
@@ -373,8 +430,14 @@
             ]  # fmt: skip
             if not able:
                 return
-            part = min(able, key=lambda p: (load[p] / max(len(by_part[p]), 1), p))
+            # Where lower-priority work can give way, else where least waits.
+            yielding = [
+                p for p in able if could_hold(spec, _rooms(by_part[p], spec.priority), spec.tasks)
+            ]
+            part = min(yielding or able, key=lambda p: (load[p] / max(len(by_part[p]), 1), p))
             load[part] += spec.tasks * spec.cpus
+            for slot in by_part[part]:
+                slot.lower.clear()
         routing.add(part, None, spec.all_tasks)
         if here is None:
             self._charge(spec, spec.tasks, usage)
@@ -389,5 +452,17 @@
         self._pack(spec, spec.tasks, slots, None)
 
 
-def _rooms(slots: list[Slot]) -> list[tuple[str, str, bool, Room]]:
-    return [(s.mtype.name, s.zone, s.spot, s.room) for s in slots if s.usable]
+def _rooms(slots: list[Slot], priority: int | None = None) -> list[tuple[str, str, bool, Room]]:
+    """The slots' rooms, with what work below a priority could give up."""
+    out = []
+    for s in slots:
+        if not s.usable:
+            continue
+        room = s.room
+        if priority is not None and any(below.priority > priority for below in s.lower):
+            room = room.copy()
+            for below in s.lower:
+                if below.priority > priority:
+                    room.take(below, -1)
+        out.append((s.mtype.name, s.zone, s.spot, room))
+    return out
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from . import machine as mc
+from . import preempt
 from .backfill import Backfill, Item
 from .delay import AdaptiveDelay
 from .gang import BREAKING, Gang
@@ -339,12 +340,47 @@
             self._follow_machine(m, now_us, wall_us, actions)
         self._follow_early_deletes(now_us, actions)
         self._follow_gangs(now_us, actions)
+        self._follow_routes(now_us, actions)
         if self.walk_due or now_us >= self.next_walk_us:
             self.walk_due = False
             self.next_walk_us = now_us + US
             self._walk(now_us, wall_us)
+            if self.backfill.blocked:
+                self._preempt(now_us, actions)
         return actions
 
+    def _grace_us(self, spec: Spec) -> int:
+        """The grace for an orderly stop: enough to save, with some for the way."""
+        return spec.save_us + US if spec.checkpoint_us else 0
+
+    def _follow_routes(self, now_us: int, actions: Actions) -> None:
+        """Stop what the leader has taken back: its team's limit is needed for something more urgent."""
+        for rec in self.recs.values():
+            if not rec.attempts or rec.inflight:
+                continue
+            job = self.view.jobs[rec.spec.ref]
+            route = job.routes.get(self.part)
+            mask = route.mask if route else 0
+            for task, a in rec.attempts.items():
+                if not mask >> task & 1 and a.state in (PLACED, HEARD) and not job.done >> task & 1:
+                    self._stop_whole(a, self._grace_us(a.spec), now_us, actions)
+
+    def _preempt(self, now_us: int, actions: Actions) -> None:
+        """Stop lower-priority tasks where that makes room for a job that finds none."""
+        seats = {s.name: s for s in self.seats(now_us)}
+        for m in self.machines.values():
+            seat = seats.get(m.name)
+            if seat is not None:
+                for a in m.attempts.values():
+                    if a.stop_grace_us is not None:
+                        seat.room.take(a.spec, -1)  # on its way out: room that is coming
+        for item in sorted(self.backfill.blocked, key=lambda i: i.order):
+            if item.not_before_us > now_us:
+                continue
+            victims = preempt.victims(item, list(seats.values()), self.machines)
+            for a in victims:
+                self._stop_whole(a, self._grace_us(a.spec), now_us, actions)
+
     def stop(self, a: Attempt, grace_us: int, now_us: int, actions: Actions) -> None:
         """Tell an attempt to stop; the order is repeated in answers until it is gone."""
         if a.stop_grace_us is not None and a.stop_grace_us <= grace_us:
@@ -419,7 +455,7 @@
             left = None if m.notice_us is None else max(m.notice_us - now_us, 0)
             longest = 0
             for a in list(m.attempts.values()):
-                grace = a.spec.save_us + US if a.spec.checkpoint_us else 0
+                grace = self._grace_us(a.spec)
                 if left is not None and left < a.spec.save_us:
                     grace = 0
                 longest = max(longest, grace)
@@ -513,11 +549,11 @@
                 (a.expected_end_us(now_us, self._run_us(a.spec), self.cfg.overrun), a.spec)
                 for a in m.attempts.values()
             ]
-            images = set(m.images)
-            images.update(a.spec.image for a in m.attempts.values())
-            out.append(
-                Seat(m.name, m.mtype, m.zone, m.spot, m.free(), images, self.backfill.label(m.name), ends)
+            seat = Seat(
+                m.name, m.mtype, m.zone, m.spot, m.free(), m.images, self.backfill.label(m.name), ends
             )
+            seat.fetching = {a.spec.image for a in m.attempts.values() if a.spec.image not in m.images}
+            out.append(seat)
         return out
 
     def _run_us(self, spec: Spec) -> int:
--- a/pearstep/core/placement.py
+++ b/pearstep/core/placement.py
@@ -6,6 +6,9 @@
 
 from .model import EPS, US, MachineType, Room, Spec
 
+# What it is worth to keep a machine with accelerators free of work that needs none.
+SPARE_US = 4 * US
+
 
 class Hold:
     """Room kept on a machine for a pivot, while it is expected to run."""
@@ -22,7 +25,7 @@
 class Seat:
     """A machine as the walk sees it: its free room, what ends when, and what is kept for pivots."""
 
-    __slots__ = ("name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "speed")
+    __slots__ = ("name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "fetching")
 
     def __init__(
         self,
@@ -44,6 +47,8 @@
         self.label = label
         self.ends = ends if ends is not None else []
         self.holds: list[Hold] = []
+        # Images on their way here; fetches share the machine's rate.
+        self.fetching: set[str] = set()
 
     def allows(self, spec: Spec, zone: str | None = None) -> bool:
         """Whether the job may use this machine at all."""
@@ -87,27 +92,33 @@
         """Use room for a task that is expected to end then."""
         self.room.take(spec)
         self.ends.append((end_us, spec))
+        if spec.image not in self.images:
+            self.fetching.add(spec.image)
 
     def undo(self, spec: Spec, end_us: int) -> None:
         """Take back a planned start."""
         self.room.take(spec, -1)
         self.ends.remove((end_us, spec))
+        if not any(other.image == spec.image for _, other in self.ends):
+            self.fetching.discard(spec.image)
 
     def fetch_us(self, spec: Spec) -> int:
-        """How long the image fetch takes here, at the nominal rate."""
+        """How long the image fetch takes here, at the nominal rate, which all fetches share."""
         if spec.image in self.images or self.mtype.fetch_gb_per_s <= 0:
             return 0
-        return int(spec.image_gb / self.mtype.fetch_gb_per_s * US)
+        others = len(self.fetching - {spec.image})
+        return int(spec.image_gb / self.mtype.fetch_gb_per_s * US) * (1 + others)
 
     def cost(self, spec: Spec, queue: int) -> tuple[float, ...]:
         """How little this machine suits the task; the smallest is taken.
 
-        Machines with accelerators are spared by jobs that need none, then machines that hold the
-        image go first, then the queue's own partition, then the tightest fit.
+        The image fetch counts first. Machines with accelerators are spared by jobs that need none, at
+        the price of a few seconds' fetch. Then the queue's own partition goes first, then the tightest
+        fit.
         """
+        spare_us = SPARE_US if self.mtype.gpus and not spec.gpus else 0
         return (
-            1.0 if self.mtype.gpus and not spec.gpus else 0.0,
-            self.fetch_us(spec) / US,
+            (self.fetch_us(spec) + spare_us) / US,
             0.0 if self.label == queue else 1.0,
             self.room.cpus + 8 * self.room.gpus,
         )
@@ -144,8 +155,8 @@
         there = [s for s in able if only is None or s.zone == only]
         chosen = _fill(spec, count, there, queue, now_us, run_us)
         if chosen is not None:
-            plans.append((max(s.fetch_us(spec) for s in chosen) + US * sum(
-                1 for s in chosen if s.mtype.gpus and not spec.gpus), chosen))
+            spared = sum(1 for s in chosen if s.mtype.gpus and not spec.gpus)
+            plans.append((max(s.fetch_us(spec) for s in chosen) + SPARE_US * spared, chosen))
     return min(plans, key=lambda p: p[0])[1] if plans else None
 
 
--- a/pearstep/settings.py
+++ b/pearstep/settings.py
@@ -124,7 +124,7 @@
     batch: Count = 100
     threshold: NotNegative = 0.25
     overrun: Positive = 0.25
-    backlog: Count = 400
+    backlog: Count = 12
 
 
 class Renting(msgspec.Struct, forbid_unknown_fields=True):
@@ -158,7 +158,10 @@
 
 
 class Tuning(msgspec.Struct, forbid_unknown_fields=True):
-    """The operators' own settings (YAML). Everything has a default."""
+    """The operators' own settings (YAML). Everything has a default. ``deployments`` holds what differs
+    from one deployment to another; the one that has the platform's zones is used."""
+
+    deployments: list[Deployment] = []
 
     backfilling: Backfilling = msgspec.field(default_factory=Backfilling)
     renting: Renting = msgspec.field(default_factory=Renting)
@@ -166,6 +169,17 @@
     leading: Leading = msgspec.field(default_factory=Leading)
 
 
+class Deployment(msgspec.Struct, forbid_unknown_fields=True):
+    """Differences for the deployment with these zones: sections as in the file itself."""
+
+    zones: list[str]
+    name: str = ""
+    backfilling: dict[str, Any] = {}
+    renting: dict[str, Any] = {}
+    guarding: dict[str, Any] = {}
+    leading: dict[str, Any] = {}
+
+
 class Settings:
     """Both files together, with times in microseconds where the code needs them."""
 
@@ -221,6 +235,14 @@
         except (OSError, yaml.YAMLError) as err:
             raise SettingsError(f"{name}: {' '.join(str(err).split())}") from None
     tuned = _convert(raw, Tuning, name)
+    for deployment in tuned.deployments:
+        if sorted(deployment.zones) == sorted(platform.params.zones):
+            merged = {
+                section: {**raw.get(section, {}), **getattr(deployment, section)}
+                for section in ("backfilling", "renting", "guarding", "leading")
+            }
+            tuned = _convert(merged, Tuning, f"{name}: deployment {deployment.name}")
+            break
     bounds = tuned.backfilling.bounds_s
     if len(bounds) != 3 or sorted(bounds) != bounds:
         raise SettingsError(f"{name}: backfilling.bounds_s must be three ascending bounds")
--- a/pearstep/users.py
+++ b/pearstep/users.py
@@ -142,6 +142,7 @@
         assert spec is not None
         verdict = await self._accept(spec)
         if verdict == COMMITTED:
+            log.debug("accepted %s %s tasks %d priority %d", ref, spec.cls, spec.tasks, spec.priority)
             return 201, wire.job_answer(ref, "queued"), {}
         if verdict == CONFLICT:
             job = await self._look(ref)
--- a/pearstep/workers.py
+++ b/pearstep/workers.py
@@ -67,6 +67,10 @@
         machine = owner.on_report(seen(report), now, self.wall_us())
         if machine is None:
             return 503, wire.error_answer("machine not usable"), {"Retry-After": "1"}
+        if log.isEnabledFor(logging.DEBUG):
+            for task in report.tasks:
+                log.debug("%s has %s try %d %s %s", machine.name, task.task, task.attempt, task.state,
+                          task.why or "")
         orders = owner.orders(machine)[:MOST_ORDERS]
         owner.answered(machine, now)
         self.kick()
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -143,8 +143,11 @@
     good = tmp_path / "good.toml"
     good.write_text(TOML)
     assert settings.load(str(good), None).parts == 1
-    for old, new, word in (("rps = 100", "rps = -1", "rps"), ('bind = "127.0.0.1:1"', 'bind = "x"', "address"),
-                           ("lease_s = 16.0", "", "lease_s")):
+    wrong = (
+        ("rps = 100", "rps = -1", "rps"), ('bind = "127.0.0.1:1"', 'bind = "x"', "address"),
+        ("lease_s = 16.0", "", "lease_s"),
+    )  # fmt: skip
+    for old, new, word in wrong:
         bad = tmp_path / "bad.toml"
         bad.write_text(TOML.replace(old, new, 1))
         with pytest.raises(settings.SettingsError, match=word) as err:
@@ -158,6 +161,11 @@
     tuning = tmp_path / "tuning.yaml"
     tuning.write_text("backfilling: {initial_delay_s: 5}\n")
     assert settings.load(str(good), str(tuning)).tuning.backfilling.initial_delay_s == 5
+    tuning.write_text("renting: {idle_s: 9}\ndeployments: [{zones: [a], renting: {most_at_once: 3}}]")
+    renting = settings.load(str(good), str(tuning)).tuning.renting
+    assert (renting.idle_s, renting.most_at_once) == (9, 3)
+    tuning.write_text("deployments: [{zones: [b], renting: {idle_s: 3}}]")
+    assert settings.load(str(good), str(tuning)).tuning.renting.idle_s != 3
     for text in ("backfilling: {no_such: 1}", "backfilling: {bounds_s: [5, 2, 9]}", "a: [", "renting: 3"):
         tuning.write_text(text)
         with pytest.raises(settings.SettingsError):
--- a/tests/world.py
+++ b/tests/world.py
@@ -107,8 +107,9 @@
         self.put(f"r/0/{job.ref}", route or RouteRec(f"0-{job.tasks - 1}"))
 
     def report(
-        self, machine: str, *tasks: tuple[str, int, str] | tuple[str, int, str, str], token: int | None = None,
-        session: int = 1, mtype: str = "small", zone: str = "a", notice: int | None = None, seq: int = 0,
+        self, machine: str, *tasks: tuple[str, int, str] | tuple[str, int, str, str],
+        token: int | None = None, session: int = 1, mtype: str = "small", zone: str = "a",
+        notice: int | None = None, seq: int = 0,
     ) -> list[tuple[str, str, int, float | None]]:  # fmt: skip
         """A machine reports; the commands it is given."""
         self.seqs[machine] = seq or self.seqs.get(machine, 0) + 1
