Consolidate dear machines, pack what is not urgent, rent with patience

Now the leader empties the machine that wastes most when its work fits on busy or cheaper ones (tasks save first), classes without an aim on starting fill the fullest machine, and room that running tasks should free before a rented machine is up counts for them.

--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -49,6 +49,7 @@
             FleetConfig(
                 us(renting.idle_s), renting.most_at_once, renting.most_machines, us(renting.settle_s),
                 us(renting.refused_s), renting.boot_factor, us(renting.boot_margin_s),
+                renting.patience, tuning.backfilling.overrun, settings.urgent, us(renting.move_s),
             ),
         )  # fmt: skip
         self.requests = 0
@@ -97,9 +98,13 @@
         if now - self.since_us < us(self.settings.tuning.renting.settle_s):
             return
         short = self.leader.unplaced + self.leader.placeless
-        for wish in self.fleet.wishes(short, now):
+        for wish in self.fleet.wishes(short, now, wall):
             await self._hire(wish)
+        if short:
+            self.fleet.next_move_us = now + 10_000_000
         drains = self.fleet.returns(bool(short), now, wall)
+        if not drains:
+            drains = self.fleet.moves(self.leader.slots(), now, wall)
         if drains:
             await self._drain(drains)
         await self._tidy_hires()
--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -352,6 +352,8 @@
             suspect_machines=tuning.guarding.suspect_machines,
             value_bytes=int(s.params.state.value_kb * 1024),
             txn_ops=s.params.state.txn_ops,
+            urgent=s.urgent,
+            spare_us=us(tuning.backfilling.spare_s),
         )
 
     # -- acting as an owner ----------------------------------------------------------------------
--- a/pearstep/core/backfill.py
+++ b/pearstep/core/backfill.py
@@ -20,7 +20,7 @@
 class Item:
     """Work that waits in a part: one gang, or the waiting tasks of an array or a service."""
 
-    __slots__ = ("spec", "tasks", "order", "queue", "run_us", "zone", "not_before_us", "avoid")
+    __slots__ = ("spec", "tasks", "order", "queue", "run_us", "zone", "not_before_us", "avoid", "urgent")
 
     def __init__(
         self,
@@ -32,6 +32,7 @@
         zone: str | None = None,
         not_before_us: int = 0,
         avoid: frozenset[str] = frozenset(),
+        urgent: bool = True,
     ) -> None:
         self.spec = spec
         self.tasks = tasks
@@ -41,6 +42,7 @@
         self.zone = zone
         self.not_before_us = not_before_us
         self.avoid = avoid
+        self.urgent = urgent
 
 
 class Start:
@@ -160,7 +162,9 @@
                 return False
             begun += 1
             count = len(item.tasks) if together else 1
-            chosen = choose(spec, count, seats, item.queue, now_us, item.run_us, item.zone)
+            chosen = choose(
+                spec, count, seats, item.queue, now_us, item.run_us, item.zone, item.urgent
+            )
             if chosen is None:
                 return False
             for seat in chosen:
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 
 from .job import Job
-from .model import US, MachineType, Room, room_of
+from .leader import Slot
+from .model import US, MachineType, Room, Spec, room_of
 from .placement import type_allowed
-from .records import DrainRec, HireRec
+from .records import QUEUED, DrainRec, HireRec
 from .view import View
 
 
@@ -22,6 +23,12 @@
     refused_us: int
     boot_factor: float
     boot_margin_us: int
+    patience: float = 1.0
+    overrun: float = 0.25
+    urgent: frozenset[str] = frozenset()
+    move_us: int = 0
+    move_ran_us: int = 35 * US
+    move_left_us: int = 20 * US
 
 
 @dataclass
@@ -46,6 +53,7 @@
         self.refused: dict[tuple[str, str, bool], int] = {}
         self.booting: dict[str, tuple[HireRec, int]] = {}
         self.came_up: set[str] = set()
+        self.next_move_us = 0
 
     def note_refusal(self, key: tuple[str, str, bool], now_us: int) -> None:
         """The cloud has none of these now."""
@@ -74,7 +82,29 @@
         for name in [n for n in self.idle_since if n not in self.view.machines]:
             del self.idle_since[name]
 
-    def wishes(self, unplaced: list[tuple[Job, int]], now_us: int) -> list[Wish]:
+    def _freeing(self, wall_us: int) -> list[tuple[MachineType, str, bool, Room]]:
+        """Room that running tasks should free before a machine rented now would be up. A task past its
+        estimate is taken to run on for the share of its time that overruns usually take."""
+        rooms: dict[str, Room] = {}
+        for job in self.view.open.values():
+            for placed in job.places.values():
+                for place in placed.rec.run.values():
+                    known = self.view.machines.get(place.machine)
+                    if known is None or place.machine in self.view.drains or known[1].type not in self.types:
+                        continue
+                    ran = wall_us - place.at_us
+                    left = job.spec.estimate_us - ran
+                    if left <= 0:
+                        left = int(ran * self.cfg.overrun)
+                    if job.state != QUEUED or left <= self.types[known[1].type].boot_us * self.cfg.patience:
+                        room = rooms.setdefault(place.machine, Room(0, 0, 0))
+                        room.take(job.spec, -1)
+        return [
+            (self.types[rec.type], rec.zone, rec.spot, room)
+            for name, room in rooms.items() for rec in (self.view.machines[name][1],)
+        ]  # fmt: skip
+
+    def wishes(self, unplaced: list[tuple[Job, int]], now_us: int, wall_us: int) -> list[Wish]:
         """What to rent for tasks that find no room, beyond what is booting already."""
         coming: list[tuple[MachineType, str, bool, Room]] = []
         for rec, _ in self.booting.values():
@@ -85,13 +115,15 @@
             if rec.machines is None and rec.type in self.types:
                 mtype = self.types[rec.type]
                 coming.extend((mtype, rec.zone, rec.spot, room_of(mtype)) for _ in range(rec.count))
-        new: dict[tuple[str, str, bool], int] = {}
         total = len(self.view.machines) + len(coming)
+        freeing = self._freeing(wall_us)
+        new: dict[tuple[str, str, bool], int] = {}
         for job, count in unplaced:
             spec = job.spec
             left = count
             while left > 0:
-                for mtype, zone, spot, room in coming:
+                # Work that is to start soon does not wait for others to end.
+                for mtype, zone, spot, room in coming if spec.cls in self.cfg.urgent else freeing + coming:
                     if (
                         (spec.types is None or mtype.name in spec.types)
                         and (spec.zone is None or spec.zone == zone)
@@ -137,6 +169,59 @@
                         best, best_cost = (mtype.name, zone, spot), cost
         return best
 
+    def moves(self, slots: list[Slot], now_us: int, wall_us: int) -> dict[str, DrainRec]:
+        """A dear machine with little on it, if all of that fits on other busy or cheaper machines: its
+        tasks save and go there, and it is returned. One at a time, so that what moves can settle."""
+        if not self.cfg.move_us or now_us < self.next_move_us:
+            return {}
+        tasks: dict[str, list[tuple[Spec, int]]] = {}
+        for job in self.view.open.values():
+            for placed in job.places.values():
+                for place in placed.rec.run.values():
+                    tasks.setdefault(place.machine, []).append((job.spec, wall_us - place.at_us))
+        best: tuple[float, str] | None = None
+        for slot in slots:
+            mine = tasks.get(slot.name)
+            if not mine or not slot.usable or not all(self._movable(spec, ran) for spec, ran in mine):
+                continue
+            if max(spec.estimate_us - ran for spec, ran in mine) < self.cfg.move_left_us:
+                continue
+            waste = self._rate(slot) * min(
+                slot.room.cpus / slot.mtype.cpus,
+                slot.room.gpus / slot.mtype.gpus if slot.mtype.gpus else 1.0,
+            )
+            if (best is None or waste > best[0]) and self._fit_elsewhere(slot, mine, slots, tasks):
+                best = (waste, slot.name)
+        if best is None:
+            return {}
+        self.next_move_us = now_us + self.cfg.move_us
+        return {best[1]: DrainRec("moving", wall_us)}
+
+    def _movable(self, spec: Spec, ran_us: int) -> bool:
+        return spec.checkpoint_us > 0 and spec.kind != "service" and ran_us > self.cfg.move_ran_us
+
+    def _rate(self, slot: Slot) -> float:
+        return slot.mtype.spot_price if slot.spot else slot.mtype.price
+
+    def _fit_elsewhere(
+        self, slot: Slot, mine: list[tuple[Spec, int]], slots: list[Slot],
+        tasks: dict[str, list[tuple[Spec, int]]],
+    ) -> bool:  # fmt: skip
+        rate = self._rate(slot)
+        rooms = [
+            (other, other.room.copy()) for other in slots
+            if other.name != slot.name and (other.name in tasks or self._rate(other) < rate / 2)
+        ]  # fmt: skip
+        rooms.sort(key=lambda r: (self._rate(r[0]), r[1].cpus))
+        for spec, _ in mine:
+            for other, room in rooms:
+                if other.allows(spec, slot.zone if spec.one_zone else None) and room.fits(spec):
+                    room.take(spec)
+                    break
+            else:
+                return False
+        return True
+
     def returns(self, wanted: bool, now_us: int, wall_us: int) -> dict[str, DrainRec]:
         """Machines to empty and delete: idle for long, or never come up."""
         out: dict[str, DrainRec] = {}
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -49,7 +49,8 @@
     suspect_machines: int
     value_bytes: int
     txn_ops: int
-    boot_us: int = 0
+    urgent: frozenset[str] = frozenset()
+    spare_us: int = 4 * US
 
 
 @dataclass
@@ -552,6 +553,7 @@
             seat = Seat(
                 m.name, m.mtype, m.zone, m.spot, m.free(), m.images, self.backfill.label(m.name), ends
             )
+            seat.spare_us = self.cfg.spare_us
             seat.fetching = {a.spec.image for a in m.attempts.values() if a.spec.image not in m.images}
             out.append(seat)
         return out
@@ -608,7 +610,8 @@
                 tasks = [t for t in tasks if f"{spec.ref}/{t}" not in names]
         if tasks:
             avoid = self.troubles.avoid(spec.ref)
-            out.append(Item(spec, tasks, order, queue, self._run_us(spec), zone, resting_us, avoid))
+            urgent = spec.cls in self.cfg.urgent
+            out.append(Item(spec, tasks, order, queue, self._run_us(spec), zone, resting_us, avoid, urgent))
 
     def _walk(self, now_us: int, wall_us: int) -> None:
         items = self.items(now_us)
--- a/pearstep/core/placement.py
+++ b/pearstep/core/placement.py
@@ -6,9 +6,6 @@
 
 from .model import EPS, US, MachineType, Room, Spec
 
-# What it is worth to keep a machine with accelerators free of work that needs none.
-SPARE_US = 4 * US
-
 
 class Hold:
     """Room kept on a machine for a pivot, while it is expected to run."""
@@ -25,7 +22,7 @@
 class Seat:
     """A machine as the walk sees it: its free room, what ends when, and what is kept for pivots."""
 
-    __slots__ = ("name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "fetching")
+    __slots__ = ("name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "fetching", "spare_us")
 
     def __init__(
         self,
@@ -49,6 +46,8 @@
         self.holds: list[Hold] = []
         # Images on their way here; fetches share the machine's rate.
         self.fetching: set[str] = set()
+        # What it is worth to keep accelerators free of work that needs none.
+        self.spare_us = 4 * US
 
     def allows(self, spec: Spec, zone: str | None = None) -> bool:
         """Whether the job may use this machine at all."""
@@ -109,14 +108,22 @@
         others = len(self.fetching - {spec.image})
         return int(spec.image_gb / self.mtype.fetch_gb_per_s * US) * (1 + others)
 
-    def cost(self, spec: Spec, queue: int) -> tuple[float, ...]:
+    def cost(self, spec: Spec, queue: int, urgent: bool = True) -> tuple[float, ...]:
         """How little this machine suits the task; the smallest is taken.
 
-        The image fetch counts first. Machines with accelerators are spared by jobs that need none, at
-        the price of a few seconds' fetch. Then the queue's own partition goes first, then the tightest
-        fit.
+        Where a class is to start soon the image fetch counts first. Machines with accelerators are
+        spared by jobs that need none, at the price of a few seconds' fetch. Then the queue's own
+        partition goes first, then the tightest fit. Where only the end counts the tightest fit goes
+        first, so that machines fall idle and can be returned.
         """
-        spare_us = SPARE_US if self.mtype.gpus and not spec.gpus else 0
+        spare_us = self.spare_us if self.mtype.gpus and not spec.gpus else 0
+        if not urgent:
+            return (
+                float(spare_us),
+                self.room.cpus + 8 * self.room.gpus,
+                0.0 if self.label == queue else 1.0,
+                self.fetch_us(spec) / US,
+            )
         return (
             (self.fetch_us(spec) + spare_us) / US,
             0.0 if self.label == queue else 1.0,
@@ -130,8 +137,9 @@
 
 
 def choose(
-    spec: Spec, count: int, seats: list[Seat], queue: int, now_us: int, run_us: int, zone: str | None = None
-) -> list[Seat] | None:
+    spec: Spec, count: int, seats: list[Seat], queue: int, now_us: int, run_us: int,
+    zone: str | None = None, urgent: bool = True,
+) -> list[Seat] | None:  # fmt: skip
     """Machines for ``count`` tasks that start together now, or None.
 
     A gang that must stay in one zone tries each; one that must scatter fills no zone beyond its limit.
@@ -143,7 +151,7 @@
         best = None
         best_cost: tuple[float, ...] = ()
         for seat in able:
-            cost = seat.cost(spec, queue)
+            cost = seat.cost(spec, queue, urgent)
             if (best is None or cost < best_cost) and seat.fits_now(
                 spec, now_us, now_us + run_us + seat.fetch_us(spec)
             ):
@@ -153,21 +161,21 @@
     plans: list[tuple[float, list[Seat]]] = []
     for only in zones:
         there = [s for s in able if only is None or s.zone == only]
-        chosen = _fill(spec, count, there, queue, now_us, run_us)
+        chosen = _fill(spec, count, there, queue, now_us, run_us, urgent)
         if chosen is not None:
-            spared = sum(1 for s in chosen if s.mtype.gpus and not spec.gpus)
-            plans.append((max(s.fetch_us(spec) for s in chosen) + SPARE_US * spared, chosen))
+            spared = sum(s.spare_us for s in chosen if s.mtype.gpus and not spec.gpus)
+            plans.append((max(s.fetch_us(spec) for s in chosen) + spared, chosen))
     return min(plans, key=lambda p: p[0])[1] if plans else None
 
 
 def _fill(
-    spec: Spec, count: int, seats: list[Seat], queue: int, now_us: int, run_us: int
+    spec: Spec, count: int, seats: list[Seat], queue: int, now_us: int, run_us: int, urgent: bool
 ) -> list[Seat] | None:
     chosen: list[Seat] = []
     ends: list[int] = []
     per_zone: dict[str, int] = {}
     most = zone_limit(spec)
-    for seat in sorted(seats, key=lambda s: s.cost(spec, queue)):
+    for seat in sorted(seats, key=lambda s: s.cost(spec, queue, urgent)):
         end_us = now_us + run_us + seat.fetch_us(spec)
         while (
             len(chosen) < count
--- a/pearstep/settings.py
+++ b/pearstep/settings.py
@@ -125,6 +125,7 @@
     threshold: NotNegative = 0.25
     overrun: Positive = 0.25
     backlog: Count = 12
+    spare_s: NotNegative = 4.0
 
 
 class Renting(msgspec.Struct, forbid_unknown_fields=True):
@@ -137,6 +138,8 @@
     refused_s: Positive = 15.0
     boot_factor: Positive = 3.0
     boot_margin_s: Positive = 15.0
+    patience: NotNegative = 1.0
+    move_s: NotNegative = 4.0
 
 
 class Guarding(msgspec.Struct, forbid_unknown_fields=True):
@@ -193,6 +196,8 @@
         self.parts = len(self.nodes)
         self.home = self.nodes.index(platform.node)
         self.teams = {t.name: Team(t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max) for t in params.teams}
+        # Classes that are to start soon after their submission.
+        self.urgent = frozenset(o.cls for o in params.objectives if o.kind == "wait")
         workers = params.workers
         self.lease_us = int(workers.lease_s * US)
         self.report_us = int(workers.report_s * US)
