--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -41,7 +41,8 @@
         self.fresh = fresh
         tuning = settings.tuning
         self.leader = Leader(
-            stamp, view, types, settings.teams, settings.parts, tuning.backfilling.backlog
+            stamp, view, types, settings.teams, settings.parts, tuning.backfilling.backlog,
+            settings.urgent,
         )
         renting = tuning.renting
         self.fleet = Fleet(
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -128,6 +128,8 @@
                         (spec.types is None or mtype.name in spec.types)
                         and (spec.zone is None or spec.zone == zone)
                         and (spec.spot or not spot)
+                        # Accelerators that come are for others; cheaper machines are rented beside.
+                        and (spec.gpus or not mtype.gpus)
                     ):
                         n = room.how_many(spec, left)
                         if n:
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from .job import Job, Route
-from .model import MachineType, Room, Spec, Team, bits, room_of, to_ranges
+from .model import MachineType, Room, Spec, Team, bits, rank, room_of, to_ranges
 from .placement import could_hold, zone_limit
 from .records import CHUNK, QUEUED, RouteRec, place_key, route_key
 from .view import View
@@ -103,7 +103,7 @@
 
     def __init__(
         self, stamp: int, view: View, types: dict[str, MachineType], teams: dict[str, Team], parts: int,
-        backlog: int,
+        backlog: int, urgent: frozenset[str] = frozenset(),
     ) -> None:  # fmt: skip
         self.stamp = stamp
         self.view = view
@@ -111,6 +111,7 @@
         self.teams = teams
         self.parts = parts
         self.backlog = backlog
+        self.urgent = urgent
         self.held: dict[str, int] = {}
         self.unplaced: list[tuple[Job, int]] = []
         self.placeless: list[tuple[Job, int]] = []
@@ -144,9 +145,9 @@
         return out
 
     def ordered(self) -> list[Job]:
-        """Open jobs in the order in which they are served: guaranteed work of a priority first."""
+        """Open jobs in the order in which they are served."""
         jobs = [j for j in self.view.open.values() if j.state == QUEUED]
-        jobs.sort(key=lambda j: (j.spec.priority, j.at_us, j.spec.ref))
+        jobs.sort(key=lambda j: (rank(j.spec, self.urgent), j.at_us, j.spec.ref))
         return jobs
 
     def plan(self, now_us: int, settle_us: int) -> list[Routing]:
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -41,6 +41,12 @@
         return (1 << self.tasks) - 1
 
 
+def rank(spec: Spec, urgent: frozenset[str]) -> int:
+    """The order in which jobs are served before arrival counts: priority, then classes that the
+    operators want started soon."""
+    return 2 * spec.priority + (spec.cls not in urgent)
+
+
 class MachineType(msgspec.Struct, frozen=True):
     """A type of machine on offer and what it costs."""
 
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -17,7 +17,7 @@
 from .gang import BREAKING, Gang
 from .job import Job
 from .machine import MACHINE, Machine
-from .model import US, MachineType, Spec, bits
+from .model import US, MachineType, Spec, bits, rank
 from .parts import part_of
 from .placement import Seat
 from .rec import Batch, Rec
@@ -133,9 +133,9 @@
     def _load(self, now_us: int, wall_us: int) -> None:
         for name, (part, rec) in self.view.machines.items():
             if part == self.part and rec.type in self.types:
-                self.machines[name] = Machine(
-                    name, self.types[rec.type], rec.zone, rec.spot, rec.addr, now_us
-                )
+                m = Machine(name, self.types[rec.type], rec.zone, rec.spot, rec.addr, now_us)
+                m.images.update(rec.images)
+                self.machines[name] = m
         for job in self.view.jobs.values():
             for part, chunk in job.places:
                 if part == self.part:
@@ -201,7 +201,7 @@
         known = self.view.machines.get(m.name)
         if known is None or known[1].addr != rep.addr:
             m.addr = rep.addr
-            self.outbox[f"m/{self.part}/{m.name}"] = (MachineRec(rep.type, rep.zone, rep.spot, rep.addr), {})
+            self._record_machine(m)
         if (rep.session, rep.seq) <= (m.session, m.seq):
             return m  # a late message: its task list is old
         if rep.session > m.session:
@@ -222,6 +222,10 @@
         self._match(m, rep, now_us, wall_us)
         return m
 
+    def _record_machine(self, m: Machine) -> None:
+        rec = MachineRec(m.mtype.name, m.zone, m.spot, m.addr, dict(m.images))
+        self.outbox[f"m/{self.part}/{m.name}"] = (rec, {})
+
     def _new_session(self, m: Machine, session: int, now_us: int, wall_us: int) -> None:
         """The worker's lease ran out: it has killed and forgotten everything of earlier sessions."""
         for attempt in [a for a in m.attempts.values() if a.session < session]:
@@ -251,6 +255,9 @@
             else:
                 if t.state != "fetching":
                     m.holds_image(attempt.spec)
+                    known = self.view.machines.get(m.name)
+                    if known is not None and attempt.spec.image not in known[1].images:
+                        self._record_machine(m)
                 attempt.heard(t.state, now_us)
         if strays.keys() != m.strays.keys():
             self.walk_due = True
@@ -586,7 +593,7 @@
     ) -> None:
         spec = job.spec
         resting_us = self.troubles.not_before(spec.ref)
-        order = (spec.priority, job.at_us, spec.ref)
+        order = (rank(spec, self.cfg.urgent), job.at_us, spec.ref)
         queue = self.backfill.queue_of(spec)
         room = max((self.cfg.value_bytes - 6 * 1024) // 64, 16)
         if spec.kind == "gang":
--- a/pearstep/core/placement.py
+++ b/pearstep/core/placement.py
@@ -22,7 +22,9 @@
 class Seat:
     """A machine as the walk sees it: its free room, what ends when, and what is kept for pivots."""
 
-    __slots__ = ("name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "fetching", "spare_us")
+    __slots__ = (
+        "name", "mtype", "zone", "spot", "room", "images", "label", "ends", "holds", "fetching", "spare_us",
+    )  # fmt: skip
 
     def __init__(
         self,
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -57,12 +57,14 @@
 
 
 class MachineRec(msgspec.Struct, omit_defaults=True):
-    """A machine that has reported to its owner."""
+    """A machine that has reported to its owner, with the images (name and GB) that it holds: they
+    decide where a task starts soon, and a new owner could not learn them from reports."""
 
     type: str
     zone: str
     spot: bool
     addr: str
+    images: dict[str, float] = {}
 
 
 class DrainRec(msgspec.Struct, omit_defaults=True):
--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,183 @@
+"""The leader: routes, the teams' limits, zones, rentals and returns."""
+
+from pearstep.core.fleet import Fleet, FleetConfig
+from pearstep.core.leader import Leader
+from pearstep.core.model import US, Team, from_ranges
+from pearstep.core.records import CANCELLED, HireRec, HolderRec, JobRec, Place, PlaceRec, RouteRec
+from pearstep.core.view import View
+
+from .world import TYPES, Ledger, machine_rec, spec
+
+
+class Office:
+    """A leader with its view and ledger."""
+
+    def __init__(self, parts=2, teams=()):
+        self.ledger = Ledger()
+        self.view = View()
+        self.now = 100 * US
+        for part in range(parts):
+            self.put(f"part/{part}", HolderRec(f"n{part}"))
+        self.leader = Leader(1, self.view, TYPES, {t.name: t for t in teams}, parts, 12)
+        cfg = FleetConfig(40 * US, 10, 100, 0, 15 * US, 3.0, 15 * US)
+        self.fleet = Fleet(self.view, TYPES, ["a", "b"], cfg)
+
+    def put(self, key, value):
+        self.ledger.txn({}, {key: value})
+        self.ledger.feed(self.view, getattr(self, "now", 0))
+
+    def machine(self, name, part, **more):
+        self.put(f"m/{part}/{name}", machine_rec(**more))
+
+    def submit(self, job, at=0):
+        self.put(f"j/{job.ref}", JobRec(job, at))
+
+    def route(self):
+        """Plan and write; the routes by job and part."""
+        for plan in self.leader.plan(self.now, 2 * US):
+            puts, conditions = plan.writes()
+            assert isinstance(self.ledger.txn(conditions, puts), int)
+        self.ledger.feed(self.view, self.now)
+        return {
+            (ref, part): route.mask
+            for ref, job in self.view.jobs.items() for part, route in job.routes.items() if route.mask
+        }
+
+    def place(self, part, ref, tasks, machine="m0", done=0):
+        run = {t: Place(machine, 1, n + 1, n) for n, t in enumerate(tasks)}
+        self.put(f"p/{part}/{ref}/0", PlaceRec(run, f"{done:x}", len(run)))
+
+
+def test_array_tasks_go_singly_to_the_part_with_most_idle_room_and_gangs_whole():
+    o = Office()
+    o.machine("m0", 0)
+    o.machine("m1", 1)
+    o.submit(spec("req-1", tasks=4))
+    o.submit(spec("req-2", tasks=2, kind="gang", cpus=5.0), at=1)
+    routes = o.route()
+    assert routes["req-1", 0].bit_count() == 2 and routes["req-1", 1].bit_count() == 2
+    assert [mask for (ref, _), mask in routes.items() if ref == "req-2"] == [0b11]
+
+
+def test_limit_counts_routed_placed_and_exiting_tasks():
+    o = Office(teams=[Team("t", cpus_max=40.0)])
+    for n in range(4):
+        o.machine(f"m{n}", n % 2)
+    o.submit(spec("req-1", tasks=8))
+    routes = o.route()
+    assert sum(m.bit_count() for m in routes.values()) == 4
+    part = next(p for _, p in routes)
+    mask = routes["req-1", part]
+    placed = [t for t in range(8) if mask >> t & 1]
+    o.place(part, "req-1", placed)
+    o.put("j/req-1", JobRec(spec("req-1", tasks=8), 0, CANCELLED, 5))
+    o.submit(spec("req-2", tasks=8), at=1)
+    routes = o.route()
+    new = sum(m.bit_count() for (ref, _), m in routes.items() if ref == "req-2")
+    assert new == 4 - len(placed)  # cancelled tasks that are still somewhere use the limit
+
+
+def test_lower_priority_gives_its_routes_back_for_an_urgent_job_of_the_same_team():
+    o = Office(teams=[Team("t", cpus_max=40.0)])
+    for n in range(4):
+        o.machine(f"m{n}", n % 2)
+    o.submit(spec("req-1", tasks=8))
+    for (_, part), mask in o.route().items():
+        o.place(part, "req-1", [t for t in range(8) if mask >> t & 1], f"m{part}")
+    o.submit(spec("req-2", kind="gang", tasks=1, cpus=20.0, priority=1), at=5)
+    routes = o.route()
+    assert ("req-2", 0) not in routes and ("req-2", 1) not in routes  # not before they are gone
+    assert sum(m.bit_count() for (ref, _), m in routes.items() if ref == "req-1") == 2
+    assert o.route() == routes  # and no more than needed
+
+
+def test_waiting_task_moves_to_a_part_with_room_only_if_it_was_not_placed():
+    o = Office()
+    o.machine("m0", 0)
+    o.submit(spec("req-1", tasks=1, cpus=32.0))
+    o.submit(spec("req-2", tasks=1, cpus=32.0), at=1)
+    routes = o.route()
+    assert routes == {("req-1", 0): 1, ("req-2", 0): 1}
+    o.place(0, "req-1", [0])
+    o.now += 5 * US
+    o.machine("m1", 1)
+    plan, = o.leader.plan(o.now, 2 * US)
+    puts, conditions = plan.writes()
+    assert conditions["p/0/req-2/0"] == 0
+    o.ledger.txn({}, {"p/0/req-2/0": PlaceRec({0: Place("m0", 1, 1, 1)}, "0", 1)})
+    assert o.ledger.txn(conditions, puts) == ["p/0/req-2/0"]
+
+
+def test_scattered_tasks_are_bound_to_zones_within_half_and_together_to_one():
+    o = Office()
+    for n in range(6):
+        o.machine(f"m{n}", n % 2, zone="a" if n < 4 else "b")
+    o.submit(spec("req-1", tasks=5, spread=True))
+    o.submit(spec("req-2", tasks=4, one_zone=True), at=1)
+    o.route()
+    for ref, zones, most in (("req-1", 2, 3), ("req-2", 1, 4)):
+        used = {}
+        for route in o.view.jobs[ref].routes.values():
+            assert not from_ranges(route.rec.tasks)
+            for zone, mask in route.zoned.items():
+                used[zone] = used.get(zone, 0) + mask.bit_count()
+        assert len(used) == zones and max(used.values()) <= most
+
+
+def test_a_hundred_thousand_tasks_are_routed_a_few_at_a_time():
+    o = Office()
+    o.machine("m0", 0)
+    o.submit(spec("req-1", tasks=100_000))
+    assert 0 < sum(m.bit_count() for m in o.route().values()) <= 3 + 12
+
+
+def test_rents_the_cheapest_fit_and_counts_what_is_coming():
+    o = Office()
+    job = spec("req-1", tasks=6)
+    o.submit(job)
+    o.route()
+    short = o.leader.unplaced + o.leader.placeless
+    (wish,) = o.fleet.wishes(short, o.now, o.now)
+    assert (wish.type, wish.spot, wish.count) == ("small", False, 2)
+    o.put("h/r-1-1", HireRec("small", "a", False, 2, o.now))
+    assert o.fleet.wishes(short, o.now, o.now) == []
+
+
+def test_refused_type_rests_and_a_dearer_one_is_rented():
+    o = Office()
+    o.submit(spec("req-1", tasks=1))
+    o.route()
+    short = o.leader.placeless
+    for zone in ("a", "b"):
+        o.fleet.note_refusal(("small", zone, False), o.now)
+    (wish,) = o.fleet.wishes(short, o.now, o.now)
+    assert wish.type == "big"
+
+
+def test_idle_machine_and_one_that_never_boots_are_returned():
+    o = Office()
+    o.machine("m0", 0)
+    o.machine("m1", 0)
+    o.submit(spec("req-1", tasks=1))
+    o.place(0, "req-1", [0], "m1")
+    o.put("h/r-1-1", HireRec("small", "a", False, 1, o.now, ["m9"]))
+    o.fleet.follow(o.now, o.now)
+    assert o.fleet.returns(False, o.now, o.now) == {}
+    o.now += 90 * US
+    o.fleet.follow(o.now, o.now)
+    returned = o.fleet.returns(False, o.now, o.now)
+    assert {n: r.why for n, r in returned.items()} == {"m0": "idle", "m9": "never came up"}
+
+
+def test_moves_empty_the_machine_that_wastes_most_if_its_work_fits_on_busy_ones():
+    o = Office()
+    o.fleet.cfg.move_us = US
+    for name in ("m0", "m1"):
+        o.machine(name, 0, mtype="big")
+    o.submit(spec("req-1", tasks=5, gpus=1.0, estimate_us=500 * US))
+    o.place(0, "req-1", [0, 1, 2, 3], "m0")
+    o.submit(spec("req-2", tasks=1, gpus=1.0, estimate_us=500 * US))
+    o.place(0, "req-2", [0], "m1")
+    assert list(o.fleet.moves(o.leader.slots(), 100 * US, 100 * US)) == ["m1"]
+    o.put("r/0/req-2", RouteRec("0"))
+    assert o.fleet.moves(o.leader.slots(), 100 * US, 100 * US) == {}  # one at a time
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -265,3 +265,47 @@
         for m, name, number in w.starts(w.run()):
             w.report(m, (name, number, "exited", "error"))
     assert not w.view.drains and len(w.owner.troubles.by_job["req-1"]) >= 3
+
+
+def test_a_new_owner_knows_which_images_a_machine_holds():
+    w = World()
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    w.run()
+    w.report("m1", ("req-1/0", 1, "fetching"))
+    assert not w.owner.machines["m1"].images
+    w.report("m1", ("req-1/0", 1, "running"))
+    w.commit()
+    assert dict(w.take_over().machines["m1"].images) == {"img": 1.0}
+
+
+def test_urgent_gang_takes_the_place_of_lower_priority_tasks_that_save_first():
+    w = World()
+    w.machine("m1")
+    w.submit(spec("req-1", tasks=3))
+    w.report("m1", *[(name, number, "running") for _, name, number in w.starts(w.run())])
+    w.submit(spec("req-2", kind="gang", tasks=1, cpus=20.0, priority=1))
+    stops = [o for o in w.step().sends["m1"] if o[0] == "stop"]
+    assert len(stops) == 2 and all(grace >= 2 for _, _, _, grace in stops)
+    assert not w.step().sends  # what is on its way out is not stopped twice, and nothing more is
+    w.report("m1", *[(name, n, "exited", "stopped") for _, name, n, _ in stops])
+    assert {name for _, name, _ in w.starts(w.run())} == {"req-2/0"}
+
+
+def test_same_priority_is_not_preempted():
+    w = World()
+    w.machine("m1")
+    w.submit(spec("req-1", tasks=3))
+    w.run()
+    w.submit(spec("req-2", kind="gang", tasks=1, cpus=20.0))
+    assert not w.step().sends
+
+
+def test_a_route_taken_back_stops_what_was_placed():
+    w = World()
+    w.machine("m1")
+    w.submit(spec("req-1", tasks=2))
+    w.report("m1", *[(name, number, "running") for _, name, number in w.starts(w.run())])
+    w.put("r/0/req-1", RouteRec("0"))
+    sends = w.step().sends
+    assert [o[:2] for o in sends["m1"]] == [("stop", "req-1/1")]
