--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -654,16 +654,11 @@
         batch.conditions[part_key] = self.token
         most = self.cfg.txn_ops
         for rec in self.recs.values():
-            if batch.changes + 2 > most or batch.size > 40_000 or len(batch.conditions) > 3 * most:
+            # Every record may bring its job's end along: both must fit.
+            if 2 * len(batch.recs) + 2 > most or batch.size > 40_000:
+                break
+            if rec.dirty and not rec.inflight and not self._gather_rec(rec, batch, 2 * most):
                 break
-            if rec.dirty and not rec.inflight:
-                self._gather_rec(rec, batch)
-        for ref, at_us in list(self.finish.items()):
-            job = self.view.jobs[ref]
-            if job.state != QUEUED:
-                del self.finish[ref]
-            elif at_us <= now_us and batch.changes < most:
-                self._finish(job, batch, wall_us)
         for rec in batch.recs:
             job = self.view.jobs[rec.spec.ref]
             done = job.done
@@ -672,6 +667,12 @@
                     done |= other.done
             if done == job.spec.all_tasks and job.state == QUEUED and job.spec.kind != "service":
                 self._finish(job, batch, wall_us)
+        for ref, at_us in list(self.finish.items()):
+            job = self.view.jobs[ref]
+            if job.state != QUEUED:
+                del self.finish[ref]
+            elif at_us <= now_us and batch.changes < most:
+                self._finish(job, batch, wall_us)
         for key, (value, conditions) in list(self.outbox.items()):
             if batch.changes >= most:
                 break
@@ -689,16 +690,21 @@
         batch.puts[key] = (JobRec(job.spec, job.at_us, DONE, wall_us), None)
         batch.done_jobs.append(job.spec.ref)
 
-    def _gather_rec(self, rec: Rec, batch: Batch) -> None:
+    def _gather_rec(self, rec: Rec, batch: Batch, most_conditions: int) -> bool:
+        """Add a record; False if its conditions do not fit beside the others'."""
         job = self.view.jobs[rec.spec.ref]
         new = [a for a in rec.attempts.values() if a.state == PLACING]
         if new:
             route = job.routes.get(self.part)
             # Not routed here any more, or over: the records decide, not what was meant to start.
-            batch.conditions[route_key(self.part, rec.spec.ref)] = route.stamp if route else 0
-            batch.conditions[f"j/{rec.spec.ref}"] = job.stamp
-            for a in new:
-                batch.conditions[f"d/{a.machine}"] = 0
+            conditions = {
+                route_key(self.part, rec.spec.ref): route.stamp if route else 0,
+                f"j/{rec.spec.ref}": job.stamp,
+            }
+            conditions.update((f"d/{a.machine}", 0) for a in new)
+            if batch.recs and len(batch.conditions | conditions) + 1 > most_conditions:
+                return False
+            batch.conditions.update(conditions)
         raw = msgspec.json.encode(rec.value())
         batch.conditions[rec.key] = rec.stamp
         batch.puts[rec.key] = (msgspec.Raw(raw), None)
@@ -712,6 +718,7 @@
                     batch.ended.append((m.name, key))
         rec.dirty = False
         rec.inflight = True
+        return True
 
     def committed(self, batch: Batch, revision: int, actions: Actions) -> None:
         """The group commit is in the state service: now its commands may be sent."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,6 +1,7 @@
 """The owner's hazards: one place per task, takeover, late messages, cancellations, gangs."""
 
 from pearstep.core.model import US
+from pearstep.core.owner import Actions
 from pearstep.core.records import CANCELLED, DrainRec, JobRec, RouteRec
 
 from .world import World, spec
@@ -311,3 +312,27 @@
     w.put("r/0/req-1", RouteRec("0"))
     sends = w.step().sends
     assert [o[:2] for o in sends["m1"]] == [("stop", "req-1/1")]
+
+
+def test_group_commit_keeps_to_the_transaction_limits_when_many_jobs_end_at_once():
+    # Seen on a recorded day: nearly a full transaction of records, each of which ended its job too.
+    w = World(txn_ops=12)
+    for n in range(10):
+        w.machine(f"m{n}")
+    for n in range(30):
+        w.submit(spec(f"req-{n}", tasks=1))
+    sizes = []
+    ended = False
+    w.step()
+    while batch := w.owner.gather(w.now, w.now):
+        assert batch.changes <= 12 and len(batch.conditions) <= 48
+        sizes.append(batch.changes)
+        revision = w.ledger.txn(batch.conditions, {k: v for k, (v, _) in batch.puts.items()}, batch.deletes)
+        assert isinstance(revision, int)
+        w.owner.committed(batch, revision, Actions())
+        w.catch_up()
+        if not ended and not any(r.dirty for r in w.owner.recs.values()):
+            ended = True
+            for name, m in w.owner.machines.items():
+                w.report(name, *[(a.name, a.number, "exited", "done") for a in m.attempts.values()])
+    assert all(job.state == "done" for job in w.view.jobs.values()) and max(sizes) == 12
