--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -57,6 +57,7 @@
         self.asked: dict[str, int] = {}
         self.list_us = 0
         self.since_us = now_us()
+        self.ownerless_us = now_us()
 
     async def _write(
         self, puts: dict[str, Any], conditions: dict[str, int], deletes: list[str] | None = None
@@ -98,6 +99,11 @@
         await self._repeat_hires(now)
         if now - self.since_us < us(self.settings.tuning.renting.settle_s):
             return
+        if len(self.view.parts) < self.settings.parts and now - self.ownerless_us < 15_000_000:
+            # A part without an owner looks like machines without room; it is taken over in seconds.
+            return
+        if len(self.view.parts) == self.settings.parts:
+            self.ownerless_us = now
         short = self.leader.unplaced + self.leader.placeless
         for wish in self.fleet.wishes(short, now, wall):
             await self._hire(wish)
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -31,6 +31,27 @@
     move_left_us: int = 20 * US
 
 
+Offer = tuple[MachineType, str, bool, Room]
+
+
+def _pack(spec: Spec, count: int, offers: list[Offer]) -> int:
+    """Use up room that comes for tasks that wait; how many found some."""
+    left = count
+    for mtype, zone, spot, room in offers:
+        if (
+            (spec.types is None or mtype.name in spec.types)
+            and (spec.zone is None or spec.zone == zone)
+            and (spec.spot or not spot)
+        ):
+            n = room.how_many(spec, left)
+            if n:
+                room.take(spec, n)
+                left -= n
+        if not left:
+            break
+    return count - left
+
+
 @dataclass
 class Wish:
     """Machines to rent."""
@@ -82,7 +103,7 @@
         for name in [n for n in self.idle_since if n not in self.view.machines]:
             del self.idle_since[name]
 
-    def _freeing(self, wall_us: int) -> list[tuple[MachineType, str, bool, Room]]:
+    def _freeing(self, wall_us: int) -> list[Offer]:
         """Room that running tasks should free before a machine rented now would be up. A task past its
         estimate is taken to run on for the share of its time that overruns usually take."""
         rooms: dict[str, Room] = {}
@@ -106,7 +127,7 @@
 
     def wishes(self, unplaced: list[tuple[Job, int]], now_us: int, wall_us: int) -> list[Wish]:
         """What to rent for tasks that find no room, beyond what is booting already."""
-        coming: list[tuple[MachineType, str, bool, Room]] = []
+        coming: list[Offer] = []
         for rec, _ in self.booting.values():
             if rec.type in self.types:
                 mtype = self.types[rec.type]
@@ -121,30 +142,22 @@
         for job, count in unplaced:
             spec = job.spec
             left = count
+            # Work that is to start soon does not wait for others to end.
+            offers = coming if spec.cls in self.cfg.urgent else freeing + coming
             while left > 0:
-                # Work that is to start soon does not wait for others to end.
-                for mtype, zone, spot, room in coming if spec.cls in self.cfg.urgent else freeing + coming:
-                    if (
-                        (spec.types is None or mtype.name in spec.types)
-                        and (spec.zone is None or spec.zone == zone)
-                        and (spec.spot or not spot)
-                        # Accelerators that come are for others; cheaper machines are rented beside.
-                        and (spec.gpus or not mtype.gpus)
-                    ):
-                        n = room.how_many(spec, left)
-                        if n:
-                            room.take(spec, n)
-                            left -= n
-                    if not left:
-                        break
-                if not left or total >= self.cfg.most_machines:
-                    break
-                choice = self._cheapest(job, left, now_us)
-                if choice is None:
+                # Accelerators that come are for others, if something cheaper can be rented beside.
+                left -= _pack(spec, left, [o for o in offers if spec.gpus or not o[0].gpus])
+                choice = self._cheapest(job, left, now_us) if left else None
+                if left and (choice is None or self.types[choice[0]].gpus):
+                    left -= _pack(spec, left, offers)
+                if not left or choice is None or total >= self.cfg.most_machines:
                     break
                 name, zone, spot = choice
                 mtype = self.types[name]
-                coming.append((mtype, zone, spot, room_of(mtype)))
+                offer = (mtype, zone, spot, room_of(mtype))
+                coming.append(offer)
+                if offers is not coming:
+                    offers.append(offer)
                 new[choice] = new.get(choice, 0) + 1
                 total += 1
         return [
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -181,3 +181,19 @@
     assert list(o.fleet.moves(o.leader.slots(), 100 * US, 100 * US)) == ["m1"]
     o.put("r/0/req-2", RouteRec("0"))
     assert o.fleet.moves(o.leader.slots(), 100 * US, 100 * US) == {}  # one at a time
+
+
+def test_gangs_without_room_share_the_accelerator_machines_rented_for_them():
+    # Seen: with the cheaper types refused, each waiting gang rented a dear machine of its own, again
+    # and again while those booted.
+    o = Office()
+    for n in range(4):
+        o.submit(spec(f"req-{n}", kind="gang", tasks=1, cpus=30.0), at=n)
+    o.route()
+    short = o.leader.unplaced + o.leader.placeless
+    for zone in ("a", "b"):
+        o.fleet.note_refusal(("small", zone, False), o.now)
+    (wish,) = o.fleet.wishes(short, o.now, o.now)
+    assert (wish.type, wish.count) == ("big", 2)
+    o.put("h/r-1-1", HireRec("big", "a", False, 2, o.now))
+    assert o.fleet.wishes(short, o.now, o.now) == []
