A decision by older records is checked again when it is written; gangs go where images are

Decisions are now checked against the records at the moment their conditions are taken. Ruled out: a stale drain, a late direct start (the attempts differ). The test fails without the mend, for routes, cancellations and drains.

Also the leader sends a gang to the part whose free machines hold its image.

--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -419,7 +419,10 @@
                 return
             routing.remove(here, route.mask)
         if fit_now:
-            part = max(fit_now, key=lambda p: (self._idle(spec, by_part[p], None)[0], -p))
+            part = max(
+                fit_now,
+                key=lambda p: (self._warm(spec, by_part[p]), self._idle(spec, by_part[p], None)[0], -p),
+            )
             self._take_gang(spec, by_part[part])
         else:
             self.unplaced.append((job, spec.tasks))
@@ -443,6 +446,16 @@
         if here is None:
             self._charge(spec, spec.tasks, usage)
 
+    def _warm(self, spec: Spec, slots: list[Slot]) -> int:
+        """How many of a gang's tasks find the image there: it starts when the last fetch is over."""
+        per_zone: dict[str, int] = {}
+        for slot in slots:
+            known = self.view.machines.get(slot.name)
+            if slot.allows(spec, None) and known is not None and spec.image in known[1].images:
+                zone = slot.zone if spec.one_zone else ""
+                per_zone[zone] = per_zone.get(zone, 0) + slot.room.how_many(spec, spec.tasks)
+        return min(max(per_zone.values(), default=0), spec.tasks)
+
     def _take_gang(self, spec: Spec, slots: list[Slot]) -> None:
         if spec.one_zone:
             for zone in sorted({s.zone for s in slots}):
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -15,7 +15,7 @@
 from .backfill import Backfill, Item
 from .delay import AdaptiveDelay
 from .gang import BREAKING, Gang
-from .job import Job
+from .job import Job, Route
 from .machine import MACHINE, Machine
 from .model import US, MachineType, Spec, bits, rank
 from .parts import part_of
@@ -690,12 +690,37 @@
         batch.puts[key] = (JobRec(job.spec, job.at_us, DONE, wall_us), None)
         batch.done_jobs.append(job.spec.ref)
 
+    def _allowed(self, a: Attempt, job: Job, route: Route | None) -> bool:
+        """Whether the records as they are known now allow what was decided."""
+        if job.state != QUEUED or route is None or not route.mask >> a.task & 1 or job.done >> a.task & 1:
+            return False
+        m = self.machines.get(a.machine)
+        if m is None or m.session != a.session or a.machine in self.view.drains:
+            return False
+        return all(zone == m.zone for zone, mask in route.zoned.items() if mask >> a.task & 1)
+
+    def _unplace(self, rec: Rec, a: Attempt) -> None:
+        """Forget a decision that was never written."""
+        ATTEMPT.move(a, ENDED)
+        rec.attempts.pop(a.task, None)
+        if (m := self.machines.get(a.machine)) is not None:
+            m.attempts.pop((a.name, a.number), None)
+        self.walk_due = True
+
     def _gather_rec(self, rec: Rec, batch: Batch, most_conditions: int) -> bool:
         """Add a record; False if its conditions do not fit beside the others'."""
         job = self.view.jobs[rec.spec.ref]
+        route = job.routes.get(self.part)
         new = [a for a in rec.attempts.values() if a.state == PLACING]
+        # The conditions name the records as they are known now. What was decided by older ones must be
+        # checked again, or the conditions would hold for something that is no longer allowed: seen as
+        # a task started in two parts, when its route moved between the decision and the write.
+        stale = [a for a in new if not self._allowed(a, job, route)]
+        if stale:
+            for a in new if rec.spec.kind == "gang" else stale:
+                self._unplace(rec, a)
+            new = [a for a in new if a.state == PLACING]
         if new:
-            route = job.routes.get(self.part)
             # Not routed here any more, or over: the records decide, not what was meant to start.
             conditions = {
                 route_key(self.part, rec.spec.ref): route.stamp if route else 0,
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -336,3 +336,20 @@
             for name, m in w.owner.machines.items():
                 w.report(name, *[(a.name, a.number, "exited", "done") for a in m.attempts.values()])
     assert all(job.state == "done" for job in w.view.jobs.values()) and max(sizes) == 12
+
+
+def test_decision_by_older_records_is_checked_again_when_it_is_written():
+    # Seen as a task that ran twice: its route moved after the walk and before the group commit, and
+    # the commit's condition named the new route's stamp.
+    for key, value in (
+        ("r/0/req-1", RouteRec("1")),
+        ("j/req-1", JobRec(spec(tasks=1), 0, CANCELLED, 1)),
+        ("d/m1", DrainRec("idle", 1)),
+    ):
+        w = World()
+        w.machine("m1")
+        w.submit(spec(tasks=1))
+        w.step()
+        w.put(key, value)
+        assert not w.starts(w.commit())
+        assert not w.owner.machines["m1"].attempts and w.owner.machines["m1"].free().cpus == 32
