Gangs wider than any part: the leader chooses machines and time, owners keep the room

What was missing: a gang that no part could hold was never started. The leader now plans it over all machines with the same reservation as a pivot's, writes machines, attempt and time into the parts' routes in one transaction, and the owners keep that room and start their share once. If the gang does not come together its tasks exit and the next attempt is planned.

--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -78,7 +78,7 @@
 
     async def route(self) -> None:
         """Write the routes that should change, as many as fit a transaction at a time."""
-        plans = self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s))
+        plans = self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s), self.wall_us())
         puts: dict[str, Any] = {}
         conditions: dict[str, int] = {}
         most = self.settings.params.state.txn_ops
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -9,10 +9,13 @@
 
 from .job import Job, Route
 from .model import MachineType, Room, Spec, Team, bits, rank, room_of, to_ranges
-from .placement import could_hold, zone_limit
+from .placement import Seat, could_hold, reserve, zone_limit
 from .records import CHUNK, QUEUED, RouteRec, place_key, route_key
 from .view import View
 
+# A wide gang whose owners have not begun by then is planned afresh.
+WIDE_STALE_US = 60_000_000
+
 
 class Slot:
     """A machine's free room as the records show it, while routes are planned."""
@@ -59,6 +62,21 @@
             masks[None] = route.mask & ~bound & keep
             self.masks[part] = masks
         self.changed: set[int] = set()
+        self.wide: dict[int, str] | None = None
+        self.attempt = 0
+        self.at_us = 0
+
+    def go_wide(self, chosen: list[Slot], attempt: int, at_us: int) -> None:
+        """Spread the gang over machines of several parts, as one attempt."""
+        for part in self.masks:
+            self.remove(part, (1 << self.job.spec.tasks) - 1)
+        self.moved = True
+        self.wide = {}
+        self.attempt = attempt
+        self.at_us = at_us
+        for task, slot in enumerate(chosen):
+            self.wide[task] = slot.name
+            self.add(slot.part, None, 1 << task)
 
     def add(self, part: int, zone: str | None, task_mask: int) -> None:
         """Route tasks to a part."""
@@ -86,7 +104,12 @@
             key = route_key(part, ref)
             masks = self.masks[part]
             zoned = {zone: to_ranges(mask) for zone, mask in masks.items() if zone is not None and mask}
-            puts[key] = RouteRec(to_ranges(masks.get(None, 0)), zoned or None)
+            mask = masks.get(None, 0)
+            if self.wide is None:
+                puts[key] = RouteRec(to_ranges(mask), zoned or None)
+            else:
+                there = {task: self.wide[task] for task in bits(mask)}
+                puts[key] = RouteRec(to_ranges(mask), None, self.attempt, there, self.at_us)
             route = self.job.routes.get(part)
             conditions[key] = route.stamp if route else 0
         if self.moved:
@@ -113,6 +136,7 @@
         self.backlog = backlog
         self.urgent = urgent
         self.held: dict[str, int] = {}
+        self.wall_us = 0
         self.unplaced: list[tuple[Job, int]] = []
         self.placeless: list[tuple[Job, int]] = []
 
@@ -150,8 +174,9 @@
         jobs.sort(key=lambda j: (rank(j.spec, self.urgent), j.at_us, j.spec.ref))
         return jobs
 
-    def plan(self, now_us: int, settle_us: int) -> list[Routing]:
+    def plan(self, now_us: int, settle_us: int, wall_us: int) -> list[Routing]:
         """Routes that should change, in order of importance."""
+        self.wall_us = wall_us
         slots = self.slots()
         by_part: dict[int, list[Slot]] = {p: [] for p in range(self.parts)}
         for slot in slots:
@@ -220,6 +245,7 @@
         spec = job.spec
         run = job.run
         if any(r.rec.wide for r in job.routes.values()):
+            self._plan_wide(job, routing, by_part, usage)
             return
         # First what is routed and waits: it uses its part's room, or moves where there is room.
         if spec.kind == "gang":
@@ -433,6 +459,7 @@
                 ], spec.tasks)
             ]  # fmt: skip
             if not able:
+                self._plan_wide(job, routing, by_part, usage)
                 return
             # Where lower-priority work can give way, else where least waits.
             yielding = [
@@ -446,6 +473,40 @@
         if here is None:
             self._charge(spec, spec.tasks, usage)
 
+    def _plan_wide(
+        self, job: Job, routing: Routing, by_part: dict[int, list[Slot]],
+        usage: dict[str, tuple[float, float]],
+    ) -> None:  # fmt: skip
+        """A gang wider than any part: the leader chooses the machines and the time, the owners keep the
+        room and start their tasks of the attempt. If the gang does not come together, its tasks exit,
+        and the next attempt is planned once all of them are gone."""
+        spec = job.spec
+        if job.run or job.done:
+            return
+        planned = next((r.rec for r in job.routes.values() if r.rec.wide), None)
+        last = max((p.rec.last for p in job.places.values()), default=0)
+        if planned is not None and last < planned.attempt and self.wall_us < planned.at_us + WIDE_STALE_US:
+            return
+        seats = {}
+        for slot in (s for slots in by_part.values() for s in slots if s.usable):
+            seats[slot.name] = (slot, Seat(slot.name, slot.mtype, slot.zone, slot.spot, slot.room.copy()))
+        for other in self.view.open.values():
+            for placed in other.places.values():
+                for place in placed.rec.run.values():
+                    if place.machine in seats:
+                        end_us = max(place.at_us + other.spec.estimate_us, self.wall_us + 1)
+                        seats[place.machine][1].ends.append((end_us, other.spec))
+        all_seats = [seat for _, seat in seats.values()]
+        at_us = reserve(spec, spec.tasks, all_seats, self.wall_us, max(spec.estimate_us, 1))
+        if at_us is None:
+            return
+        chosen = [seats[s.name][0] for s in all_seats for hold in s.holds for _ in range(hold.count)]
+        for slot in chosen:
+            slot.room.take(spec)
+        routing.go_wide(chosen, max(last, planned.attempt if planned else 0) + 1, at_us)
+        if planned is None:
+            self._charge(spec, spec.tasks, usage)
+
     def _warm(self, spec: Spec, slots: list[Slot]) -> int:
         """How many of a gang's tasks find the image there: it starts when the last fetch is over."""
         per_zone: dict[str, int] = {}
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -19,7 +19,7 @@
 from .machine import MACHINE, Machine
 from .model import US, MachineType, Spec, bits, rank
 from .parts import part_of
-from .placement import Seat
+from .placement import Hold, Seat
 from .rec import Batch, Rec
 from .records import CANCELLED, CHUNK, DONE, QUEUED, DrainRec, JobRec, MachineRec, route_key
 from .task import ATTEMPT, ENDED, HEARD, PLACED, PLACING, Attempt
@@ -622,11 +622,13 @@
 
     def _walk(self, now_us: int, wall_us: int) -> None:
         items = self.items(now_us)
+        seats = self.seats(now_us) if items or self._any_wide() else []
+        self._place_wide(seats, now_us, wall_us)
         if not items:
             self.backfill.blocked = []
             self.backfill.pivots = {}
             return
-        for start in self.backfill.walk(now_us, self.seats(now_us), items, self.delay.delay_us):
+        for start in self.backfill.walk(now_us, seats, items, self.delay.delay_us):
             spec = start.item.spec
             gang = spec.kind == "gang"
             recs = [self._rec(spec, chunk) for chunk in {t // CHUNK for t, _ in start.places}]
@@ -638,6 +640,44 @@
                 rec.last = max(rec.last, number)
                 self._place(rec, task, seat.name, number, now_us, wall_us)
 
+    def _any_wide(self) -> bool:
+        return any(
+            (route := job.routes.get(self.part)) is not None and route.rec.wide
+            for job in self.view.open.values()
+        )
+
+    def _place_wide(self, seats: list[Seat], now_us: int, wall_us: int) -> None:
+        """Our share of gangs wider than any part, on the machines that the leader chose. Until its time
+        its room is kept like a pivot's."""
+        by_name = {s.name: s for s in seats}
+        for job in self.view.open.values():
+            route = job.routes.get(self.part)
+            if route is None or not route.rec.wide or job.state != QUEUED or job.done:
+                continue
+            spec = job.spec
+            recs = {task: self._rec(spec, task // CHUNK) for task in route.rec.wide}
+            if any(rec.last >= route.rec.attempt or rec.attempts for rec in recs.values()):
+                continue  # each attempt is tried once
+            begun: list[Seat] = []
+            end_us = now_us + self._run_us(spec)
+            for name in route.rec.wide.values():
+                seat = by_name.get(name)
+                if seat is None or not seat.room.fits(spec):
+                    break
+                seat.start(spec, end_us)
+                begun.append(seat)
+            if len(begun) == len(recs) and wall_us >= route.rec.at_us:
+                for task, name in route.rec.wide.items():
+                    recs[task].last = route.rec.attempt
+                    self._place(recs[task], task, name, route.rec.attempt, now_us, wall_us)
+                continue
+            for seat in begun:
+                seat.undo(spec, end_us)
+            from_us = now_us + max(route.rec.at_us - wall_us, 0)
+            for name in route.rec.wide.values():
+                if (kept := by_name.get(name)) is not None:
+                    kept.holds.append(Hold(from_us, from_us + self._run_us(spec), spec, 1))
+
     def _place(self, rec: Rec, task: int, machine: str, number: int, now_us: int, wall_us: int) -> None:
         m = self.machines[machine]
         a = Attempt(rec.spec, task, machine, m.session, number, wall_us, now_us)
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -31,12 +31,14 @@
 
 class RouteRec(msgspec.Struct, omit_defaults=True):
     """Tasks routed to a part, freely or bound to a zone. For a job wider than any part, ``wide`` names
-    the machines that the leader chose, and ``attempt`` the attempt that all parts start."""
+    the machines that the leader chose, ``attempt`` the attempt that all parts start, and ``at_us`` the
+    wall time from which the owners keep those machines' room for it, as for a pivot of their own."""
 
     tasks: str = ""
     zoned: dict[str, str] | None = None
     attempt: int = 0
     wide: dict[int, str] | None = None
+    at_us: int = 0
 
 
 class Place(msgspec.Struct, array_like=True):
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -34,7 +34,7 @@
 
     def route(self):
         """Plan and write; the routes by job and part."""
-        for plan in self.leader.plan(self.now, 2 * US):
+        for plan in self.leader.plan(self.now, 2 * US, self.now):
             puts, conditions = plan.writes()
             assert isinstance(self.ledger.txn(conditions, puts), int)
         self.ledger.feed(self.view, self.now)
@@ -101,7 +101,7 @@
     o.place(0, "req-1", [0])
     o.now += 5 * US
     o.machine("m1", 1)
-    plan, = o.leader.plan(o.now, 2 * US)
+    plan, = o.leader.plan(o.now, 2 * US, o.now)
     puts, conditions = plan.writes()
     assert conditions["p/0/req-2/0"] == 0
     o.ledger.txn({}, {"p/0/req-2/0": PlaceRec({0: Place("m0", 1, 1, 1)}, "0", 1)})
@@ -197,3 +197,30 @@
     assert (wish.type, wish.count) == ("big", 2)
     o.put("h/r-1-1", HireRec("big", "a", False, 2, o.now))
     assert o.fleet.wishes(short, o.now, o.now) == []
+
+
+def test_gang_wider_than_any_part_is_spread_by_the_leader_as_one_attempt():
+    o = Office()
+    for n in range(4):
+        o.machine(f"m{n}", n % 2)
+    job = spec("req-1", kind="gang", tasks=4, cpus=30.0, one_zone=True)
+    o.submit(job)
+    routes = o.route()
+    assert routes["req-1", 0] | routes["req-1", 1] == 0b1111
+    recs = [r.rec for r in o.view.jobs["req-1"].routes.values()]
+    assert {r.attempt for r in recs} == {1} and {r.at_us for r in recs} == {o.now}
+    assert o.route() == routes and {r.attempt for r in recs} == {1}  # planned once
+    o.put("p/0/req-1/0", PlaceRec({}, "0", 1))  # one part tried, and its tasks are gone again
+    o.route()
+    assert {r.rec.attempt for r in o.view.jobs["req-1"].routes.values()} == {2}
+
+
+def test_wide_gang_waits_for_the_time_at_which_its_room_is_expected():
+    o = Office()
+    for n in range(2):
+        o.machine(f"m{n}", n % 2)
+    o.submit(spec("req-9", tasks=1, cpus=30.0, estimate_us=300 * US))
+    o.place(0, "req-9", [0], "m0")
+    o.submit(spec("req-1", kind="gang", tasks=2, cpus=30.0), at=1)
+    o.route()
+    assert {r.rec.at_us for r in o.view.jobs["req-1"].routes.values()} == {300 * US}
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -353,3 +353,17 @@
         w.put(key, value)
         assert not w.starts(w.commit())
         assert not w.owner.machines["m1"].attempts and w.owner.machines["m1"].free().cpus == 32
+
+
+def test_owner_keeps_the_room_of_a_wide_gang_and_starts_its_share_once():
+    w = World()
+    w.machine("m1")
+    gang = spec("req-1", kind="gang", tasks=4, cpus=20.0)
+    w.submit(gang, RouteRec("0", None, 3, {0: "m1"}, w.now + 30 * US))
+    w.submit(spec("req-2", tasks=1, cpus=20.0, estimate_us=60 * US))
+    assert not w.starts(w.run())  # the backfilled task would not end in time
+    w.later(31)
+    w.report("m1")
+    assert w.starts(w.run()) == {("m1", "req-1/0", 3)}
+    w.report("m1", ("req-1/0", 3, "exited", "alone"))
+    assert "req-1/0" not in {name for _, name, _ in w.starts(w.run())}  # the leader plans the next
