--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -385,9 +385,11 @@
         for item in sorted(self.backfill.blocked, key=lambda i: i.order):
             if item.not_before_us > now_us:
                 continue
-            victims = preempt.victims(item, list(seats.values()), self.machines)
-            for a in victims:
-                self._stop_whole(a, self._grace_us(a.spec), now_us, actions)
+            for a in preempt.victims(item, list(seats.values()), self.machines, now_us):
+                # Where less is lost since the last checkpoint than saving takes, it stops at once: the
+                # job that waits gains the saving time.
+                cheap = a.unsaved_us(now_us) <= a.spec.save_us
+                self._stop_whole(a, 0 if cheap else self._grace_us(a.spec), now_us, actions)
 
     def stop(self, a: Attempt, grace_us: int, now_us: int, actions: Actions) -> None:
         """Tell an attempt to stop; the order is repeated in answers until it is gone."""
--- a/pearstep/core/task.py
+++ b/pearstep/core/task.py
@@ -58,6 +58,13 @@
         if phase == "running" and not self.running_us:
             self.running_us = now_us
 
+    def unsaved_us(self, now_us: int) -> int:
+        """About how much work a stop without saving would lose."""
+        if not self.running_us:
+            return 0
+        ran = now_us - self.running_us
+        return ran % self.spec.checkpoint_us if self.spec.checkpoint_us else ran
+
     def expected_end_us(self, now_us: int, run_us: int, overrun: float) -> int:
         """When it should end. An overrun extends the expected end instead of ending the task: by a
         share of the time it has run, so that the guess keeps its distance."""
