A machine back after its lease starts a lease of its own; what gave way leaves room alone

A session's first sight, and any message past the counted lease, now begin the count anew. Ruled out: late direct starts, the takeover of the other part (the owner was the same).

A job whose task gave way waits 5 s, and tasks on their way out count as ending soon. Both tests fail without the mend.

--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -28,6 +28,8 @@
 
 Order = tuple[str, str, int, float | None]
 IMMEDIATE = ("lost", "stuck")
+# How long a job whose task gave way leaves the room alone.
+YIELD_US = 5 * US
 
 
 @dataclass
@@ -122,6 +124,7 @@
         self.troubles = Troubles(cfg.suspect_machines, cfg.sick_errors)
         self.outbox: dict[str, tuple[Any, dict[str, int]]] = {}
         self.finish: dict[str, int] = {}
+        self.yielded: dict[str, int] = {}
         self.early_deletes: dict[str, int] = {}
         self.gone: set[str] = set()
         self.walk_due = True
@@ -204,6 +207,11 @@
             self._record_machine(m)
         if (rep.session, rep.seq) <= (m.session, m.seq):
             return m  # a late message: its task list is old
+        if rep.session > m.session or now_us - m.answered_us > self.cfg.lease_us:
+            # A session lives on for a lease from its beginning, or longer than was thought. Seen after
+            # a cut: counted from the last answer before it, the lease of a session just begun was over,
+            # and tasks placed in it a moment ago were freed and started twice.
+            m.answered_us = now_us
         if rep.session > m.session:
             self._new_session(m, rep.session, now_us, wall_us)
         m.seq = rep.seq
@@ -389,6 +397,9 @@
                 # Where less is lost since the last checkpoint than saving takes, it stops at once: the
                 # job that waits gains the saving time.
                 cheap = a.unsaved_us(now_us) <= a.spec.save_us
+                # Seen: a task that gave way was started again at once in the room that the gang was
+                # still waiting to complete, and stopped again, ten times a second.
+                self.yielded[a.spec.ref] = now_us + YIELD_US
                 self._stop_whole(a, 0 if cheap else self._grace_us(a.spec), now_us, actions)
 
     def stop(self, a: Attempt, grace_us: int, now_us: int, actions: Actions) -> None:
@@ -594,7 +605,7 @@
         self, job: Job, zoned: dict[str, int], waiting: int, now_us: int, strays: set[str], out: list[Item]
     ) -> None:
         spec = job.spec
-        resting_us = self.troubles.not_before(spec.ref)
+        resting_us = max(self.troubles.not_before(spec.ref), self.yielded.get(spec.ref, 0))
         order = (rank(spec, self.cfg.urgent), job.at_us, spec.ref)
         queue = self.backfill.queue_of(spec)
         room = max((self.cfg.value_bytes - 6 * 1024) // 64, 16)
--- a/pearstep/core/task.py
+++ b/pearstep/core/task.py
@@ -68,6 +68,8 @@
     def expected_end_us(self, now_us: int, run_us: int, overrun: float) -> int:
         """When it should end. An overrun extends the expected end instead of ending the task: by a
         share of the time it has run, so that the guess keeps its distance."""
+        if self.stop_grace_us is not None:
+            return max(self.stop_us + self.stop_grace_us, now_us) + 1_000_000
         begun = self.running_us or max(self.placed_us, now_us)
         end = begun + run_us
         if end <= now_us:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,7 +1,7 @@
 """The owner's hazards: one place per task, takeover, late messages, cancellations, gangs."""
 
 from pearstep.core.model import US
-from pearstep.core.owner import Actions
+from pearstep.core.owner import Actions, ReportSeen
 from pearstep.core.records import CANCELLED, DrainRec, JobRec, RouteRec
 
 from .world import World, spec
@@ -382,3 +382,32 @@
     w.report("m1", *running)
     w.submit(spec("req-2", kind="gang", tasks=1, cpus=20.0, priority=1))
     assert [o[3] for o in w.step().sends["m1"] if o[0] == "stop"] == [0.0, 0.0]
+
+
+def test_a_machine_back_after_its_lease_starts_a_lease_of_its_own():
+    w = World(silent_us=1000 * US)
+    w.machine("m1")
+    w.machine("m2")
+    w.later(45)
+    rep = ReportSeen("m1", "127.0.0.1:1", "small", "a", False, 2, 1, w.owner.token, None)
+    w.owner.on_report(rep, w.now, w.now)  # the answer to a probe: nothing of ours renews the lease
+    w.submit(spec(tasks=1))
+    assert {m for m, _, _ in w.starts(w.run())} == {"m1"}
+    w.later(1)
+    w.report("m2")
+    assert not w.starts(w.run())
+
+
+def test_job_whose_task_gave_way_leaves_the_room_alone_for_a_while():
+    w = World()
+    w.machine("m1")
+    w.submit(spec("req-1", tasks=1))
+    w.report("m1", *[(name, n, "running") for _, name, n in w.starts(w.run())])
+    w.submit(spec("req-2", kind="gang", tasks=1, cpus=30.0, priority=1))
+    (stop,) = w.step().sends["m1"]
+    w.put("j/req-2", JobRec(spec("req-2"), 0, CANCELLED, 1))
+    w.report("m1", (stop[1], stop[2], "exited", "stopped"))
+    assert not w.starts(w.run())
+    w.later(6)
+    w.report("m1")
+    assert w.starts(w.run())
