Tests of the users' API over HTTP against a stand-in for the state service

Covers acceptance, repeats, unknown ids, bad input (400, 413, 405, 422), cancellations, and the 503 with Retry-After while the state service is away.

--- /dev/null
+++ b/tests/test_users.py
@@ -0,0 +1,118 @@
+"""The users' API over HTTP, against a small stand-in for the state service."""
+
+import asyncio
+
+import msgspec
+from tornado.testing import bind_unused_port
+
+from pearstep import wire
+from pearstep.budget import Budget
+from pearstep.core.model import Team
+from pearstep.core.view import View
+from pearstep.http import Client, Server
+from pearstep.store import Store
+from pearstep.users import Users
+
+from .test_formats import GOOD
+from .world import TYPES, Ledger
+
+JOB = {**GOOD, "shape": "batch", "parcels": 2, "breeds": None, "holder": "t", "memoryGb": 8.0}
+
+
+class StateService:
+    """Transactions and changes over HTTP; ``away`` answers 503 to everything."""
+
+    def __init__(self):
+        self.ledger = Ledger()
+        self.away = False
+
+    async def handle(self, request):
+        if self.away:
+            return 503, b"{}", {}
+        if request.path == wire.TXN:
+            body = msgspec.json.decode(request.body)
+            puts = {op["put"]: op["value"] for op in body["then"] if "put" in op}
+            outcome = self.ledger.txn({c["path"]: c["stamp"] for c in body["when"]}, puts)
+            if isinstance(outcome, int):
+                return 200, msgspec.json.encode({"ledger": outcome}), {}
+            return 409, msgspec.json.encode({"failed": outcome, "ledger": self.ledger.revision}), {}
+        after = int(request.arguments["from"][0])
+        news = [entry for entry in self.ledger.log if entry[0] > after]
+        log = [{"put": k, "value": msgspec.Raw(raw), "stamp": s} for s, k, raw in news]
+        return 200, msgspec.json.encode({"ledger": self.ledger.revision, "log": log}), {}
+
+
+async def scenario(steps):
+    state = StateService()
+    sockets = [bind_unused_port("127.0.0.1") for _ in range(2)]
+    ports = []
+    for sock, port in sockets:
+        sock.close()
+        ports.append(port)
+    Server(state.handle).listen("127.0.0.1", ports[0])
+    client = Client()
+    budget = Budget(1e6, 1e6, lambda: 0)
+    store = Store(client, f"127.0.0.1:{ports[0]}", budget, budget, lambda: 0)
+    view = View()
+
+    async def fresh():
+        changes = await store.changes(view.revision, 0)
+        if isinstance(changes, int):
+            return False
+        for event in changes.events:
+            view.put(event.put, event.version, bytes(event.value), 0)
+        view.revision = changes.revision
+        return True
+
+    def applied(key, stamp, value):
+        view.put(key, stamp, msgspec.json.encode(value), 0)
+
+    users = Users(store, view, {"t": Team("t", cpus_max=64.0)}, fresh, applied, lambda: 1, 1, 12)
+    users.types = TYPES
+    users.ready = True
+
+    async def handle(request):
+        return await users.handle(request) or (404, b"{}", {})
+
+    Server(handle).listen("127.0.0.1", ports[1])
+
+    async def ask(method, path, body=None):
+        raw = body if isinstance(body, bytes) or body is None else msgspec.json.encode(body)
+        status, data = await client.fetch(f"127.0.0.1:{ports[1]}", method, path, raw)
+        return status, msgspec.json.decode(data)
+
+    await steps(ask, state, users)
+
+
+def test_life_of_a_job_and_bad_input():
+    async def steps(ask, state, users):
+        assert await ask("POST", wire.JOBS, JOB) == (201, {"ref": "req-000412", "stage": "queued"})
+        assert (await ask("POST", wire.JOBS, JOB))[0] == 200
+        assert (await ask("POST", wire.JOBS, {"ref": "req-000412"}))[0] == 200  # known: not checked again
+        assert (await ask("GET", f"{wire.JOBS}/req-000412"))[1]["stage"] == "queued"
+        assert (await ask("GET", f"{wire.JOBS}/req-7"))[0] == 404
+        assert (await ask("POST", f"{wire.JOBS}/req-7/abort"))[0] == 404
+        assert (await ask("POST", wire.JOBS, b"{"))[0] == 400
+        assert (await ask("POST", wire.JOBS, b"[" + b" " * 70_000 + b"]"))[0] == 413
+        assert (await ask("GET", wire.JOBS))[0] == 405
+        for wrong in ({"holder": "nobody"}, {"vcpus": 97.0}, {"shape": "gang", "parcels": 16}):
+            assert (await ask("POST", wire.JOBS, {**JOB, "ref": "req-9", **wrong}))[0] == 422
+        for _ in range(2):
+            status, body = await ask("POST", f"{wire.JOBS}/req-000412/abort")
+            assert (status, body["stage"]) == (200, "withdrawn")
+        assert state.ledger.revision == 2
+
+    asyncio.run(scenario(steps))
+
+
+def test_while_the_state_service_is_away_users_are_told_when_to_come_back():
+    async def steps(ask, state, users):
+        await ask("POST", wire.JOBS, JOB)
+        state.away = True
+        status, _, headers = await users.submit(msgspec.json.encode({**JOB, "ref": "req-8"}))
+        assert status == 503 and headers["Retry-After"] == "1"
+        assert (await ask("GET", f"{wire.JOBS}/req-000412"))[0] == 503
+        state.away = False
+        assert (await ask("POST", wire.JOBS, {**JOB, "ref": "req-8"}))[0] == 201
+
+    asyncio.run(scenario(steps))
