--- a/pearstep/budget.py
+++ b/pearstep/budget.py
@@ -10,7 +10,9 @@
 
 
 class Budget:
-    """A bucket that refills steadily; those who wait are served by urgency, then in order."""
+    """A bucket that refills steadily; those who wait are served by urgency, then in order. Whoever finds
+    something in it may take more than there is, and the rest waits the longer: so nobody has to know
+    beforehand how much it will be."""
 
     def __init__(self, per_s: float, burst: float, now_us: Callable[[], int]) -> None:
         self.per_us = per_s / 1e6
@@ -27,10 +29,14 @@
         self.level = min(self.burst, self.level + (now - self._at) * self.per_us)
         self._at = now
 
-    def try_take(self, amount: float = 1.0) -> bool:
-        """Take at once if nobody waits and there is enough."""
+    def _floor(self, urgency: int) -> float:
+        """The urgent is little: it waits for nobody and takes in advance."""
+        return -self.burst if urgency == URGENT else 0.0
+
+    def try_take(self, amount: float = 1.0, urgency: int = NORMAL) -> bool:
+        """Take at once if nobody waits before us and there is something."""
         self._refill()
-        if self._waiting or self.level < min(amount, self.burst):
+        if self.level <= self._floor(urgency) or (self._waiting and self._waiting[0][0] <= urgency):
             return False
         self.level -= amount
         return True
@@ -41,8 +47,8 @@
         self.level = min(self.level, 0.0)
 
     async def take(self, amount: float = 1.0, urgency: int = NORMAL) -> None:
-        """Wait for one's turn."""
-        if self.try_take(amount):
+        """Wait for one's turn. An amount of 0 waits until there is something."""
+        if self.try_take(amount, urgency):
             return
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._count += 1
@@ -51,15 +57,17 @@
         await future
 
     def _arm(self) -> None:
-        if self._timer is None and self._waiting:
-            need = min(self._waiting[0][2], self.burst) - self.level
-            delay = max(need / self.per_us / 1e6, 0.001)
+        if self._waiting:
+            if self._timer is not None:
+                self._timer.cancel()
+            need = self._floor(self._waiting[0][0]) - self.level
+            delay = max(need / self.per_us / 1e6, 0.0) + 0.002
             self._timer = asyncio.get_running_loop().call_later(delay, self._serve)
 
     def _serve(self) -> None:
         self._timer = None
         self._refill()
-        while self._waiting and self.level >= min(self._waiting[0][2], self.burst):
+        while self._waiting and self.level > self._floor(self._waiting[0][0]):
             _, _, amount, future = heapq.heappop(self._waiting)
             if not future.done():
                 self.level -= amount
--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -13,12 +13,16 @@
 from .core.leader import Leader
 from .core.model import MachineType
 from .core.records import DrainRec, HireRec
+from .core.routing import Routing
 from .core.view import View
 from .settings import Settings, us
 from .store import COMMITTED, CONFLICT, REFUSED, Store
 
 log = logging.getLogger("pearstep.chief")
 
+# Plans older than this are made afresh.
+WRITE_US = 600_000
+
 
 class Chief:
     """This node while it leads. ``stamp`` is the revision of the leader's key: every write is
@@ -42,7 +46,7 @@
         tuning = settings.tuning
         self.leader = Leader(
             stamp, view, types, settings.teams, settings.parts, tuning.backfilling.backlog,
-            settings.urgent,
+            settings.aims,
         )
         renting = tuning.renting
         self.fleet = Fleet(
@@ -50,7 +54,8 @@
             FleetConfig(
                 us(renting.idle_s), renting.most_at_once, renting.most_machines, us(renting.settle_s),
                 us(renting.refused_s), renting.boot_factor, us(renting.boot_margin_s),
-                renting.patience, tuning.backfilling.overrun, settings.urgent, us(renting.move_s),
+                renting.patience, tuning.backfilling.overrun, settings.urgent, settings.aims,
+                us(renting.move_s),
             ),
         )  # fmt: skip
         self.requests = 0
@@ -76,16 +81,26 @@
             await self.fresh()
         return outcome.state
 
-    async def route(self) -> None:
-        """Write the routes that should change, as many as fit a transaction at a time."""
-        plans = self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s), self.wall_us())
+    def plan(self) -> list[Routing]:
+        """The routes that should change."""
+        return self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s), self.wall_us())
+
+    async def write(self, plans: list[Routing]) -> None:
+        """Write new routes, as many as fit a transaction at a time. What was planned together is written
+        together: a hundred jobs that came at once would otherwise wait for a pass each dozen. A plan of
+        which the world has moved on fails on its conditions, and the rest is planned afresh."""
+        most = self.settings.txn_ops
         puts: dict[str, Any] = {}
         conditions: dict[str, int] = {}
-        most = self.settings.params.state.txn_ops
+        begun = self.now_us()
         for plan in plans:
             more, when = plan.writes()
             if puts and (len(puts) + len(more) > most or len(conditions) + len(when) > 3 * most):
-                break
+                log.debug("routing %s", " ".join(puts))
+                if await self._write(puts, conditions) != COMMITTED or self.now_us() - begun > WRITE_US:
+                    return
+                await self.store.may_write()
+                puts, conditions = {}, {}
             puts.update(more)
             conditions.update(when)
         if puts:
@@ -156,12 +171,12 @@
             f"h/{name}" for name, rec in self.view.hires.items()
             if rec.machines is not None and not any(m in self.fleet.booting for m in rec.machines)
         ]  # fmt: skip
-        over = over[: self.settings.params.state.txn_ops]
+        over = over[: self.settings.txn_ops]
         if len(over) >= 4:
             await self._write({}, {key: self.view.stamp(key) for key in over}, over)
 
     async def _drain(self, drains: dict[str, DrainRec]) -> None:
-        most = self.settings.params.state.txn_ops
+        most = self.settings.txn_ops
         puts = {f"d/{name}": rec for name, rec in list(drains.items())[:most]}
         log.info("returning %s", ", ".join(f"{n} ({r.why})" for n, r in drains.items()))
         await self._write(puts, dict.fromkeys(puts, 0))
--- a/pearstep/cloud.py
+++ b/pearstep/cloud.py
@@ -30,9 +30,12 @@
     async def _ask(
         self, method: str, path: str, body: bytes | None = None, urgency: int = NORMAL
     ) -> tuple[int, bytes]:
-        await self._budget.take(1.0, urgency)
-        status, data = await self._client.fetch(self._addr, method, path, body, 8.0)
-        if status == 429:
+        for _ in range(4):
+            await self._budget.take(1.0, urgency)
+            status, data = await self._client.fetch(self._addr, method, path, body, 8.0)
+            if status != 429:
+                break
+            # Not executed: the nodes share the rate, and another one has used it up.
             self._budget.drain()
             await asyncio.sleep(random.uniform(0.1, 0.4))
         return status, data
--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -47,18 +47,19 @@
         self.settings = settings
         self.node = settings.node
         limits = settings.params
-        client = Client(max(50, limits.resources.fd_limit // 4))
+        ends = settings.platform.endpoints
+        client = Client(max(50, limits.resources.fd_limit // 4), (ends.state, ends.cloud))
         share = settings.parts
         self.store = Store(
             client,
             settings.platform.endpoints.state,
             Budget(limits.state.rps / share * 1.2, limits.state.rps / share, now_us),
-            Budget(limits.state.write_rps / share * 1.5, max(limits.state.write_rps / 2, 1.0), now_us),
+            Budget(limits.state.write_rps / share * 1.25, max(limits.state.write_rps / share, 1.0), now_us),
             now_us,
         )
         self.cloud = Cloud(
             client, settings.platform.endpoints.cloud,
-            Budget(limits.cloud.rps / share * 1.5, max(limits.cloud.rps / 2, 1.0), now_us),
+            Budget(limits.cloud.rps / 2, max(limits.cloud.rps / 2, 1.0), now_us),
         )  # fmt: skip
         self.view = View()
         self.types: dict[str, MachineType] = {}
@@ -76,7 +77,7 @@
         self._committing: set[int] = set()
         self.users = Users(
             self.store, self.view, settings.teams, self.fresh, self.applied, wall_us,
-            settings.tuning.guarding.retry_after_s, limits.state.txn_ops,
+            settings.tuning.guarding.retry_after_s, settings.txn_ops,
         )  # fmt: skip
         self.workers = Workers(
             client, self.view, self.owners, self.node, settings.parts, now_us, wall_us, self.dirty.set
@@ -203,8 +204,9 @@
                 owner.job_changed(ref, now_us(), wall_us())
         elif kind in ("m", "d"):
             for owner in self.owners.values():
-                owner.walk_due = True
-        self.dirty.set()
+                owner.walk_due |= rest.rpartition("/")[2] in owner.machines
+        if kind == "d" or any(owner.walk_due for owner in self.owners.values()):
+            self.dirty.set()
         if self.chief is not None:
             self.route_due.set()
 
@@ -251,7 +253,7 @@
                     log.exception("refresh failed")
                 if not waiting.done():
                     waiting.set_result(ok)
-                await asyncio.sleep(0.03)
+                await asyncio.sleep(self.settings.tuning.leading.refresh_ms / 1000)
         finally:
             self._refreshing = False
 
@@ -351,8 +353,9 @@
             sick_errors=tuning.guarding.sick_errors,
             suspect_machines=tuning.guarding.suspect_machines,
             value_bytes=int(s.params.state.value_kb * 1024),
-            txn_ops=s.params.state.txn_ops,
+            txn_ops=s.txn_ops,
             urgent=s.urgent,
+            aims=s.aims,
             spare_us=us(tuning.backfilling.spare_s),
         )
 
@@ -364,12 +367,18 @@
         except TimeoutError:
             pass
         self.dirty.clear()
+        begun = now_us()
         for owner in list(self.owners.values()):
             self._perform(owner, owner.step(now_us(), wall_us()))
             if owner.part not in self._committing:
                 self._committing.add(owner.part)
                 asyncio.ensure_future(self._commit(owner))
-        await asyncio.sleep(self.settings.tuning.leading.step_ms / 1000)
+        await self._rest(begun)
+
+    async def _rest(self, begun: int) -> None:
+        """A pause after a pass. The longer it took, the longer reports, users and leases go first."""
+        took_s = (now_us() - begun) / US
+        await asyncio.sleep(max(self.settings.tuning.leading.step_ms / 1000, min(4 * took_s, 1.0)))
 
     def _perform(self, owner: Owner, actions: Actions) -> None:
         self.workers.perform(owner, actions)
@@ -395,6 +404,9 @@
     async def _commit(self, owner: Owner) -> None:
         try:
             while self.owners.get(owner.part) is owner:
+                if not owner.has_writes(now_us()):
+                    return
+                await self.store.may_write()
                 batch = owner.gather(now_us(), wall_us())
                 if batch is None:
                     return
@@ -439,8 +451,11 @@
         if chief is None or self.store.refused_since is not None:
             await asyncio.sleep(0.1)
             return
-        await chief.route()
-        await asyncio.sleep(self.settings.tuning.leading.step_ms / 1000)
+        begun = now_us()
+        plans = chief.plan()
+        thought = now_us() - begun
+        await chief.write(plans)
+        await self._rest(now_us() - thought)
 
     async def _fleet_loop(self) -> None:
         await asyncio.sleep(0.4)
--- a/pearstep/core/backfill.py
+++ b/pearstep/core/backfill.py
@@ -11,6 +11,7 @@
 import heapq
 from collections.abc import Iterable
 
+from .capacity import Capacity
 from .model import Spec
 from .placement import Seat, choose, reserve
 
@@ -67,6 +68,7 @@
         self.standing: list[tuple[str, int]] = []
         self.blocked: list[Item] = []
         self._next_label = 0
+        self._room: Capacity[Seat, str] = Capacity((), lambda s: s.zone, lambda s: s.room)
 
     def queue_of(self, spec: Spec) -> int:
         """The queue of a job by its owner's estimate; services join the longest."""
@@ -100,6 +102,7 @@
                 i for i in queues[-1] if i.spec.kind == "service" or now_us >= i.order[1] + delay_us
             ]
         starts: list[Start] = []
+        self._room = Capacity(seats, lambda s: s.zone, lambda s: s.room)
         self.pivots = {}
         self.blocked = []
         standing = self.standing
@@ -157,20 +160,44 @@
         spec = item.spec
         together = spec.kind == "gang"
         begun = 0
+        last: Seat | None = None
         while item.tasks:
             if begun == most:
                 return False
             begun += 1
             count = len(item.tasks) if together else 1
-            chosen = choose(
-                spec, count, seats, item.queue, now_us, item.run_us, item.zone, item.urgent
-            )
+            if not self._may_fit(item, count):
+                return False
+            chosen: list[Seat] | None = None
+            if last is not None and last.fits_now(
+                spec, now_us, now_us + item.run_us + last.fetch_us(spec)
+            ):
+                # What suited the array's last task best suits the next one better still.
+                chosen = [last]
+            else:
+                chosen = choose(
+                    spec, count, seats, item.queue, now_us, item.run_us, item.zone, item.urgent
+                )
             if chosen is None:
                 return False
             for seat in chosen:
                 if not seat.ends:
                     self.labels[seat.name] = seat.label = item.queue
                 seat.start(spec, now_us + item.run_us + seat.fetch_us(spec))
+            for seat in chosen:
+                self._room.changed(seat)
+            if not together:
+                last = chosen[0]
             starts.append(Start(item, list(zip(item.tasks[:count], chosen, strict=True))))
             item.tasks = item.tasks[count:]
         return True
+
+    def _may_fit(self, item: Item, count: int) -> bool:
+        """Whether there is room at all, whatever is kept for pivots: most jobs that wait find none, and
+        that is seen without a look at every machine."""
+        zones = self._room.by_group(item.spec)
+        if item.zone is not None:
+            return zones.get(item.zone, 0) >= count
+        if item.spec.one_zone:
+            return max(zones.values(), default=0) >= count
+        return sum(zones.values()) >= count
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from .capacity import Shape, shape_of
 from .job import Job
-from .leader import Slot
 from .model import US, MachineType, Room, Spec, room_of
+from .picture import Slot
 from .placement import type_allowed
 from .records import QUEUED, DrainRec, HireRec
 from .view import View
@@ -26,27 +27,51 @@
     patience: float = 1.0
     overrun: float = 0.25
     urgent: frozenset[str] = frozenset()
+    aims: dict[str, int] = field(default_factory=dict)
     move_us: int = 0
     move_ran_us: int = 35 * US
     move_left_us: int = 20 * US
 
 
-Offer = tuple[MachineType, str, bool, Room]
+# The horizon of room on machines that boot: it counts for everyone.
+COMING = -1
 
+# Of the most wasteful machines so many are looked at for a move, so that a look stays cheap.
+MOVES_TRIED = 12
+MOVE_ONE_IN = 48
 
-def _pack(spec: Spec, count: int, offers: list[Offer]) -> int:
+class Offer:
+    """A machine with room that tasks could use instead of a machine rented for them: one that comes, or
+    one on which running tasks should end soon. What ends within which time is summed up by horizon."""
+
+    __slots__ = ("mtype", "zone", "spot", "rooms")
+
+    def __init__(self, mtype: MachineType, zone: str, spot: bool, rooms: dict[int, Room]) -> None:
+        self.mtype = mtype
+        self.zone = zone
+        self.spot = spot
+        self.rooms = rooms
+
+    def allows(self, spec: Spec) -> bool:
+        """Whether the job may use such a machine."""
+        return (
+            (spec.types is None or self.mtype.name in spec.types)
+            and (spec.zone is None or spec.zone == self.zone)
+            and (spec.spot or not self.spot)
+        )
+
+
+def _pack(spec: Spec, count: int, offers: list[Offer], horizon_us: int) -> int:
     """Use up room that comes for tasks that wait; how many found some."""
     left = count
-    for mtype, zone, spot, room in offers:
-        if (
-            (spec.types is None or mtype.name in spec.types)
-            and (spec.zone is None or spec.zone == zone)
-            and (spec.spot or not spot)
-        ):
+    for offer in offers:
+        room = offer.rooms.get(horizon_us) or offer.rooms.get(COMING)
+        if room is not None and room.fits(spec) and offer.allows(spec):
             n = room.how_many(spec, left)
-            if n:
-                room.take(spec, n)
-                left -= n
+            # Room that frees soon is part of what frees later.
+            for each in offer.rooms.values():
+                each.take(spec, n)
+            left -= n
         if not left:
             break
     return count - left
@@ -91,79 +116,94 @@
             if name in self.view.machines or name in self.view.drains:
                 self.came_up.add(name)
                 del self.booting[name]
-        busy: set[str] = set()
-        for job in self.view.open.values():
-            for placed in job.places.values():
-                busy.update(place.machine for place in placed.rec.run.values())
         for name in self.view.machines:
-            if name in busy:
+            if name in self.view.on:
                 self.idle_since.pop(name, None)
             else:
                 self.idle_since.setdefault(name, now_us)
         for name in [n for n in self.idle_since if n not in self.view.machines]:
             del self.idle_since[name]
 
-    def _freeing(self, wall_us: int) -> list[Offer]:
-        """Room that running tasks should free before a machine rented now would be up. A task past its
-        estimate is taken to run on for the share of its time that overruns usually take."""
-        rooms: dict[str, Room] = {}
-        for job in self.view.open.values():
-            for placed in job.places.values():
-                for place in placed.rec.run.values():
-                    known = self.view.machines.get(place.machine)
-                    if known is None or place.machine in self.view.drains or known[1].type not in self.types:
-                        continue
-                    ran = wall_us - place.at_us
-                    left = job.spec.estimate_us - ran
-                    if left <= 0:
-                        left = int(ran * self.cfg.overrun)
-                    if job.state != QUEUED or left <= self.types[known[1].type].boot_us * self.cfg.patience:
-                        room = rooms.setdefault(place.machine, Room(0, 0, 0))
+    def _horizon_us(self, cls: str, longest_boot_us: int) -> int:
+        """How long work of a class may wait for running tasks to end instead of having a machine rented
+        for it: as long as a boot takes, unless the class is to start sooner, or may start later."""
+        aim_us = self.cfg.aims.get(cls)
+        wait_us = longest_boot_us
+        if aim_us is not None:
+            wait_us = min(wait_us, aim_us // 2) if cls in self.cfg.urgent else max(wait_us, aim_us // 2)
+        return int(wait_us * self.cfg.patience)
+
+    def _freeing(self, horizons: set[int], wall_us: int) -> list[Offer]:
+        """Room that running tasks should free within each horizon. A task past its estimate is taken to
+        run on for the share of its time that overruns usually take."""
+        out: list[Offer] = []
+        for name, places in self.view.on.items():
+            known = self.view.machines.get(name)
+            if known is None or name in self.view.drains or known[1].type not in self.types:
+                continue
+            rooms = {h: Room(0, 0, 0) for h in horizons}
+            for (ref, _), place in places.items():
+                job = self.view.jobs[ref]
+                ran = wall_us - place.at_us
+                left = job.spec.estimate_us - ran
+                if left <= 0:
+                    left = int(ran * self.cfg.overrun)
+                for horizon, room in rooms.items():
+                    if job.state != QUEUED or left <= horizon:
                         room.take(job.spec, -1)
-        return [
-            (self.types[rec.type], rec.zone, rec.spot, room)
-            for name, room in rooms.items() for rec in (self.view.machines[name][1],)
-        ]  # fmt: skip
+            out.append(Offer(self.types[known[1].type], known[1].zone, known[1].spot, rooms))
+        return out
 
     def wishes(self, unplaced: list[tuple[Job, int]], now_us: int, wall_us: int) -> list[Wish]:
         """What to rent for tasks that find no room, beyond what is booting already."""
         coming: list[Offer] = []
         for rec, _ in self.booting.values():
             if rec.type in self.types:
-                mtype = self.types[rec.type]
-                coming.append((mtype, rec.zone, rec.spot, room_of(mtype)))
+                coming.append(self._whole(rec.type, rec.zone, rec.spot))
         for rec in self.view.hires.values():
             if rec.machines is None and rec.type in self.types:
-                mtype = self.types[rec.type]
-                coming.extend((mtype, rec.zone, rec.spot, room_of(mtype)) for _ in range(rec.count))
+                coming.extend(self._whole(rec.type, rec.zone, rec.spot) for _ in range(rec.count))
         total = len(self.view.machines) + len(coming)
-        freeing = self._freeing(wall_us)
+        boot_us = max((t.boot_us for t in self.types.values()), default=0)
+        horizons = {cls: self._horizon_us(cls, boot_us) for cls in {job.spec.cls for job, _ in unplaced}}
+        freeing = self._freeing(set(horizons.values()), wall_us) if self.cfg.patience else []
         new: dict[tuple[str, str, bool], int] = {}
+        # Once a shape has used up what is offered, only what is added later can hold more of it.
+        used_up: dict[Shape, int] = {}
+        offers = freeing + coming
         for job, count in unplaced:
             spec = job.spec
             left = count
-            # Work that is to start soon does not wait for others to end.
-            offers = coming if spec.cls in self.cfg.urgent else freeing + coming
+            # What has waited for as long as it may waits for nothing more.
+            horizon_us = horizons[spec.cls]
+            if spec.cls in self.cfg.aims and wall_us - job.at_us > horizon_us:
+                horizon_us = COMING
+            fresh = offers[used_up.get(shape_of(spec), 0) :]
             while left > 0:
                 # Accelerators that come are for others, if something cheaper can be rented beside.
-                left -= _pack(spec, left, [o for o in offers if spec.gpus or not o[0].gpus])
+                left -= _pack(
+                    spec, left, fresh if spec.gpus else [o for o in fresh if not o.mtype.gpus], horizon_us
+                )
                 choice = self._cheapest(job, left, now_us) if left else None
                 if left and (choice is None or self.types[choice[0]].gpus):
-                    left -= _pack(spec, left, offers)
+                    left -= _pack(spec, left, fresh, horizon_us)
+                    if left and horizon_us != COMING:
+                        used_up[shape_of(spec)] = len(offers)
                 if not left or choice is None or total >= self.cfg.most_machines:
                     break
-                name, zone, spot = choice
-                mtype = self.types[name]
-                offer = (mtype, zone, spot, room_of(mtype))
-                coming.append(offer)
-                if offers is not coming:
-                    offers.append(offer)
+                offer = self._whole(*choice)
+                offers.append(offer)
+                fresh = [offer]
                 new[choice] = new.get(choice, 0) + 1
                 total += 1
         return [
             Wish(name, zone, spot, min(n, self.cfg.most_at_once)) for (name, zone, spot), n in new.items()
         ]
 
+    def _whole(self, name: str, zone: str, spot: bool) -> Offer:
+        mtype = self.types[name]
+        return Offer(mtype, zone, spot, {COMING: room_of(mtype)})
+
     def _cheapest(self, job: Job, left: int, now_us: int) -> tuple[str, str, bool] | None:
         """The type, zone and kind with the least price per task that it would hold."""
         spec = job.spec
@@ -189,12 +229,11 @@
         tasks save and go there, and it is returned. One at a time, so that what moves can settle."""
         if not self.cfg.move_us or now_us < self.next_move_us:
             return {}
-        tasks: dict[str, list[tuple[Spec, int]]] = {}
-        for job in self.view.open.values():
-            for placed in job.places.values():
-                for place in placed.rec.run.values():
-                    tasks.setdefault(place.machine, []).append((job.spec, wall_us - place.at_us))
-        best: tuple[float, str] | None = None
+        tasks = {
+            name: [(self.view.jobs[ref].spec, wall_us - place.at_us) for (ref, _), place in there.items()]
+            for name, there in self.view.on.items()
+        }
+        wasteful: list[tuple[float, str, Slot]] = []
         for slot in slots:
             mine = tasks.get(slot.name)
             if not mine or not slot.usable or not all(self._movable(spec, ran) for spec, ran in mine):
@@ -205,12 +244,21 @@
                 slot.room.cpus / slot.mtype.cpus,
                 slot.room.gpus / slot.mtype.gpus if slot.mtype.gpus else 1.0,
             )
-            if (best is None or waste > best[0]) and self._fit_elsewhere(slot, mine, slots, tasks):
-                best = (waste, slot.name)
-        if best is None:
-            return {}
-        self.next_move_us = now_us + self.cfg.move_us
-        return {best[1]: DrainRec("moving", wall_us)}
+            wasteful.append((-waste, slot.name, slot))
+        wasteful.sort(key=lambda w: w[:2])
+        # One in so many machines at a time, so that what moves can settle, and a large fleet is emptied
+        # in the same time as a small one.
+        most = 1 + len(slots) // MOVE_ONE_IN
+        out: dict[str, DrainRec] = {}
+        emptied: set[str] = set()
+        for _, name, slot in wasteful[: MOVES_TRIED + most]:
+            if self._fit_elsewhere(slot, tasks[name], slots, tasks, emptied):
+                emptied.add(name)
+                out[name] = DrainRec("moving", wall_us)
+                if len(out) == most:
+                    break
+        self.next_move_us = now_us + (self.cfg.move_us if out else US)
+        return out
 
     def _movable(self, spec: Spec, ran_us: int) -> bool:
         return spec.checkpoint_us > 0 and spec.kind != "service" and ran_us > self.cfg.move_ran_us
@@ -220,12 +268,14 @@
 
     def _fit_elsewhere(
         self, slot: Slot, mine: list[tuple[Spec, int]], slots: list[Slot],
-        tasks: dict[str, list[tuple[Spec, int]]],
+        tasks: dict[str, list[tuple[Spec, int]]], emptied: set[str],
     ) -> bool:  # fmt: skip
+        """Whether all of it fits on others that are not being emptied; if so their room is used up."""
         rate = self._rate(slot)
         rooms = [
             (other, other.room.copy()) for other in slots
-            if other.name != slot.name and (other.name in tasks or self._rate(other) < rate / 2)
+            if other.name != slot.name and other.name not in emptied
+            and (other.name in tasks or self._rate(other) < rate / 2)
         ]  # fmt: skip
         rooms.sort(key=lambda r: (self._rate(r[0]), r[1].cpus))
         for spec, _ in mine:
@@ -235,6 +285,8 @@
                     break
             else:
                 return False
+        for other, room in rooms:
+            other.room = room
         return True
 
     def returns(self, wanted: bool, now_us: int, wall_us: int) -> dict[str, DrainRec]:
--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -39,7 +39,9 @@
 class Job:
     """Everything committed about a job."""
 
-    __slots__ = ("spec", "state", "stamp", "at_us", "end_us", "routes", "places", "done", "seen_us")
+    __slots__ = (
+        "spec", "state", "stamp", "at_us", "end_us", "routes", "places", "done", "seen_us", "run", "routed",
+    )  # fmt: skip
 
     def __init__(self, rec: JobRec, stamp: int, seen_us: int) -> None:
         self.spec: Spec = rec.spec
@@ -51,6 +53,18 @@
         self.routes: dict[int, Route] = {}
         self.places: dict[tuple[int, int], Placed] = {}
         self.done = 0
+        # The tasks that have a placement anywhere, and those that some part may place.
+        self.run = 0
+        self.routed = 0
+
+    def recount(self) -> None:
+        """Routes or placements have changed. Kept rather than derived at each look: the leader looks at
+        every open job on every pass."""
+        self.run = self.routed = 0
+        for placed in self.places.values():
+            self.run |= placed.run
+        for route in self.routes.values():
+            self.routed |= route.mask
 
     def update(self, rec: JobRec, stamp: int) -> None:
         """Take over a newer record; a final state stays, whatever arrives."""
@@ -63,27 +77,16 @@
         """Done or cancelled."""
         return self.state != QUEUED
 
-    @property
-    def run(self) -> int:
-        """The tasks that have a placement anywhere."""
-        mask = 0
-        for placed in self.places.values():
-            mask |= placed.run
-        return mask
-
-    @property
-    def routed(self) -> int:
-        """The tasks that some part may place."""
-        mask = 0
-        for route in self.routes.values():
-            mask |= route.mask
-        return mask
-
     @property
     def complete(self) -> bool:
         """Whether every task is recorded as done; services never are."""
         return self.spec.kind != "service" and self.done == self.spec.all_tasks
 
+    @property
+    def waits(self) -> bool:
+        """Whether some task is neither done nor placed anywhere."""
+        return self.state == QUEUED and bool(self.spec.all_tasks & ~self.done & ~self.run)
+
     def using(self) -> int:
         """The tasks that use the team's limit: placed anywhere, or allowed to be."""
         open_routes = 0 if self.final else self.routed & ~self.done
--- /dev/null
+++ b/pearstep/core/limits.py
@@ -0,0 +1,83 @@
+"""The teams' limits: what their tasks use or may use, and making room within a limit."""
+
+from __future__ import annotations
+
+from .job import Job
+from .model import Spec, Team, bits
+from .routing import Routing
+from .view import View
+
+
+class Limits:
+    """Usage during one pass. A team's tasks count from the route on, until there is evidence that they
+    are gone."""
+
+    def __init__(self, view: View, teams: dict[str, Team]) -> None:
+        self.view = view
+        self.teams = teams
+        self.held: dict[str, int] = {}
+        self.usage: dict[str, tuple[float, float]] = {}
+        for job in view.open.values():
+            n = job.using().bit_count()
+            if n:
+                self.charge(job.spec, n)
+
+    def charge(self, spec: Spec, count: int) -> None:
+        """Count tasks against their team's limit."""
+        cpus, gpus = self.usage.get(spec.team, (0.0, 0.0))
+        self.usage[spec.team] = (cpus + count * spec.cpus, gpus + count * spec.gpus)
+
+    def allow(self, spec: Spec, count: int) -> bool:
+        """Whether the team may use that much more."""
+        team = self.teams.get(spec.team)
+        cpus, gpus = self.usage.get(spec.team, (0.0, 0.0))
+        return team is None or team.within_limit(cpus + count * spec.cpus, gpus + count * spec.gpus)
+
+    def hold(self, spec: Spec) -> None:
+        """The limit keeps this job waiting: the team's lower-priority work gets no more room."""
+        self.held[spec.team] = min(self.held.get(spec.team, spec.priority), spec.priority)
+
+    def held_back(self, spec: Spec) -> bool:
+        """Whether more urgent work of the team waits for its limit."""
+        return spec.priority > self.held.get(spec.team, spec.priority)
+
+    def withdraw(self, jobs: list[Job], routings: dict[str, Routing]) -> None:
+        """Make room within a team's limit for a job of higher priority: take routes back, first of what
+        is not placed, then of what was placed last. An owner stops what it may no longer place."""
+        for name, priority in self.held.items():
+            limit = self.teams.get(name)
+            mine = [j for j in jobs if j.spec.team == name]
+            wanted = next((j for j in mine if j.spec.priority == priority and not j.routed), None)
+            if wanted is None or limit is None:
+                continue
+            need = wanted.spec.tasks if wanted.spec.kind == "gang" else 1
+            cpus, gpus = need * wanted.spec.cpus, need * wanted.spec.gpus
+            lower: list[tuple[int, int, Routing, int, int]] = []
+            for job in mine:
+                spec = job.spec
+                leaving = job.run & ~job.routed
+                stays = (job.using() & ~leaving).bit_count()
+                cpus += stays * spec.cpus
+                gpus += stays * spec.gpus
+                if spec.priority <= priority or spec.kind == "gang" or not job.routed:
+                    continue
+                routing = routings.get(spec.ref)
+                if routing is None:
+                    routing = routings[spec.ref] = Routing(job)
+                if routing.changed:
+                    continue
+                placed_at = {
+                    task: place.at_us for p in job.places.values() for task, place in p.rec.run.items()
+                }
+                for part, route in job.routes.items():
+                    lower.extend(
+                        (-spec.priority, -placed_at.get(task, 1 << 62), routing, part, task)
+                        for task in bits(route.mask & ~job.done)
+                    )
+            lower.sort(key=lambda v: v[:2])
+            for _, _, routing, part, task in lower:
+                if limit.within_limit(cpus, gpus):
+                    break
+                routing.take_back(part, 1 << task)
+                cpus -= routing.job.spec.cpus
+                gpus -= routing.job.spec.gpus
--- a/pearstep/core/machine.py
+++ b/pearstep/core/machine.py
@@ -34,7 +34,7 @@
     __slots__ = (
         "name", "mtype", "zone", "spot", "addr", "state", "session", "seq", "confirmed", "heard_us",
         "answered_us", "attempts", "reaps", "pending_ends", "strays", "images", "errors", "notice_us",
-        "why", "drain_us", "delete_us", "probe_us", "open_directs",
+        "why", "drain_us", "delete_us", "probe_us", "open_directs", "recorded_us",
     )  # fmt: skip
 
     def __init__(self, name: str, mtype: MachineType, zone: str, spot: bool, addr: str, now_us: int) -> None:
@@ -60,6 +60,7 @@
         self.notice_us: int | None = None
         self.why = ""
         self.drain_us = 0
+        self.recorded_us = -(1 << 60)
         self.probe_us = 0
         self.delete_us = 0
 
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 US = 1_000_000
+NEVER_US = 10**12
 EPS = 1e-6
 
 PRIORITIES = ("production", "high", "normal", "low")
@@ -41,10 +44,10 @@
         return (1 << self.tasks) - 1
 
 
-def rank(spec: Spec, urgent: frozenset[str]) -> int:
-    """The order in which jobs are served before arrival counts: priority, then classes that the
-    operators want started soon."""
-    return 2 * spec.priority + (spec.cls not in urgent)
+def rank(spec: Spec, aims: Mapping[str, int]) -> int:
+    """The order in which jobs are served before arrival counts: priority, then how soon the operators
+    want the class started; classes without such an aim come last."""
+    return spec.priority * NEVER_US + min(aims.get(spec.cls, NEVER_US), NEVER_US - 1)
 
 
 class MachineType(msgspec.Struct, frozen=True):
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from . import machine as mc
-from . import preempt
 from .backfill import Backfill, Item
 from .delay import AdaptiveDelay
 from .gang import BREAKING, Gang
@@ -20,6 +19,7 @@
 from .model import US, MachineType, Spec, bits, rank
 from .parts import part_of
 from .placement import Hold, Seat
+from .preempt import Preemption
 from .rec import Batch, Rec
 from .records import CANCELLED, CHUNK, DONE, QUEUED, DrainRec, JobRec, MachineRec, route_key
 from .task import ATTEMPT, ENDED, HEARD, PLACED, PLACING, Attempt
@@ -30,6 +30,8 @@
 IMMEDIATE = ("lost", "stuck")
 # How long a job whose task gave way leaves the room alone.
 YIELD_US = 5 * US
+# How often a machine's images are recorded: they only help to choose, and writes are scarce.
+IMAGES_US = 20 * US
 
 
 @dataclass
@@ -52,6 +54,7 @@
     value_bytes: int
     txn_ops: int
     urgent: frozenset[str] = frozenset()
+    aims: dict[str, int] = field(default_factory=dict)
     spare_us: int = 4 * US
 
 
@@ -154,6 +157,9 @@
         """Go back to what is committed. Whatever was decided but not written is decided again."""
         before = list(rec.attempts.values())
         job = self.view.jobs[rec.spec.ref]
+        # Seen: a gang's end went with a commit that was refused; the gang, complete already, was
+        # running again by the records, and every step of the owner failed from then on.
+        self.gangs.pop(rec.spec.ref, None)
         placed = job.places.get((self.part, rec.chunk))
         if placed is None:
             rec.attempts, rec.done, rec.last, rec.stamp, rec.dirty = {}, 0, 0, 0, False
@@ -173,10 +179,12 @@
 
     def job_changed(self, ref: str, now_us: int, wall_us: int) -> None:
         """Records of a job have changed in the view."""
-        self.walk_due = True
         job = self.view.jobs.get(ref)
-        if job is None:
-            return
+        if job is None or (self.part not in job.routes and (ref, 0) not in self.recs and not any(
+            part == self.part for part, _ in job.places
+        )):  # fmt: skip
+            return  # another part's work: with many parts that is most of what changes
+        self.walk_due = True
         for (part, chunk), placed in job.places.items():
             if part != self.part:
                 continue
@@ -264,8 +272,12 @@
                 if t.state != "fetching":
                     m.holds_image(attempt.spec)
                     known = self.view.machines.get(m.name)
-                    if known is not None and attempt.spec.image not in known[1].images:
+                    if (
+                        known is not None and attempt.spec.image not in known[1].images
+                        and now_us - m.recorded_us > IMAGES_US
+                    ):  # fmt: skip
                         self._record_machine(m)
+                        m.recorded_us = now_us
                 attempt.heard(t.state, now_us)
         if strays.keys() != m.strays.keys():
             self.walk_due = True
@@ -390,10 +402,11 @@
                 for a in m.attempts.values():
                     if a.stop_grace_us is not None:
                         seat.room.take(a.spec, -1)  # on its way out: room that is coming
+        room = Preemption(list(seats.values()), self.machines, now_us)
         for item in sorted(self.backfill.blocked, key=lambda i: i.order):
             if item.not_before_us > now_us:
                 continue
-            for a in preempt.victims(item, list(seats.values()), self.machines, now_us):
+            for a in room.victims(item):
                 # Where less is lost since the last checkpoint than saving takes, it stops at once: the
                 # job that waits gains the saving time.
                 cheap = a.unsaved_us(now_us) <= a.spec.save_us
@@ -606,7 +619,7 @@
     ) -> None:
         spec = job.spec
         resting_us = max(self.troubles.not_before(spec.ref), self.yielded.get(spec.ref, 0))
-        order = (rank(spec, self.cfg.urgent), job.at_us, spec.ref)
+        order = (rank(spec, self.cfg.aims), job.at_us, spec.ref)
         queue = self.backfill.queue_of(spec)
         room = max((self.cfg.value_bytes - 6 * 1024) // 64, 16)
         if spec.kind == "gang":
@@ -706,11 +719,18 @@
         part_key = f"part/{self.part}"
         batch.conditions[part_key] = self.token
         most = self.cfg.txn_ops
+        ends: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]] | None = None
+        needs = 0
         for rec in self.recs.values():
-            # Every record may bring its job's end along: both must fit.
-            if 2 * len(batch.recs) + 2 > most or batch.size > 40_000:
+            if not rec.dirty or rec.inflight:
+                continue
+            # A record may bring its job's end along: both must fit.
+            needs += 2 if rec.done else 1
+            if batch.recs and (needs > most or batch.size > 40_000):
                 break
-            if rec.dirty and not rec.inflight and not self._gather_rec(rec, batch, 2 * most):
+            if ends is None:
+                ends = self._pending()
+            if not self._gather_rec(rec, batch, 2 * most, ends):
                 break
         for rec in batch.recs:
             job = self.view.jobs[rec.spec.ref]
@@ -718,6 +738,10 @@
             for other in self._recs_of(rec.spec):
                 if other in batch.recs or not other.dirty:
                     done |= other.done
+            if min((part for part, _ in job.places), default=self.part) < self.part:
+                # Another part ends the job once it hears of this. Seen: the parts of a wide gang, done at
+                # the same moment, refused each other's commits, and its places stayed taken for seconds.
+                continue
             if done == job.spec.all_tasks and job.state == QUEUED and job.spec.kind != "service":
                 self._finish(job, batch, wall_us)
         for ref, at_us in list(self.finish.items()):
@@ -737,6 +761,13 @@
             del self.outbox[key]
         return batch if batch.changes else None
 
+    def has_writes(self, now_us: int) -> bool:
+        """Whether there is anything for a group commit."""
+        return (
+            bool(self.outbox) or any(at_us <= now_us for at_us in self.finish.values())
+            or any(rec.dirty and not rec.inflight for rec in self.recs.values())
+        )  # fmt: skip
+
     def _finish(self, job: Job, batch: Batch, wall_us: int) -> None:
         key = f"j/{job.spec.ref}"
         batch.conditions[key] = job.stamp
@@ -760,7 +791,19 @@
             m.attempts.pop((a.name, a.number), None)
         self.walk_due = True
 
-    def _gather_rec(self, rec: Rec, batch: Batch, most_conditions: int) -> bool:
+    def _pending(self) -> dict[tuple[str, int], list[tuple[str, tuple[str, int]]]]:
+        """Ends that are not recorded yet, by the record that they belong to."""
+        out: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]] = {}
+        for m in self.machines.values():
+            for key in m.pending_ends:
+                ref, number = split_task(key[0])
+                out.setdefault((ref, number // CHUNK), []).append((m.name, key))
+        return out
+
+    def _gather_rec(
+        self, rec: Rec, batch: Batch, most_conditions: int,
+        ends: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]],
+    ) -> bool:  # fmt: skip
         """Add a record; False if its conditions do not fit beside the others'."""
         job = self.view.jobs[rec.spec.ref]
         route = job.routes.get(self.part)
@@ -789,11 +832,7 @@
         batch.size += len(raw) + 600
         batch.recs.append(rec)
         batch.placed.extend(new)
-        for m in self.machines.values():
-            for key in m.pending_ends:
-                ref, number = split_task(key[0])
-                if ref == rec.spec.ref and number // CHUNK == rec.chunk:
-                    batch.ended.append((m.name, key))
+        batch.ended.extend(ends.get((rec.spec.ref, rec.chunk), ()))
         rec.dirty = False
         rec.inflight = True
         return True
@@ -814,9 +853,9 @@
             if m is not None and key in m.pending_ends:
                 m.pending_ends.discard(key)
                 if key not in m.attempts:
+                    # Told in the next answer: nothing waits for it, and a message of its own for each
+                    # task that ends was a third of all that was sent.
                     m.reaps.add(key)
-                    if key not in m.open_directs:
-                        actions.send(name, ("forget", *key, None))
         for ref in batch.done_jobs:
             self.finish.pop(ref, None)
 
--- a/pearstep/core/placement.py
+++ b/pearstep/core/placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from .model import EPS, US, MachineType, Room, Spec
+from .model import EPS, US, MachineType, Room, Spec, room_of
 
 
 class Hold:
@@ -122,6 +122,8 @@
         if not urgent:
             return (
                 float(spare_us),
+                # Cheap machines first: some of what waits may not use them.
+                0.0 if self.spot else 1.0,
                 self.room.cpus + 8 * self.room.gpus,
                 0.0 if self.label == queue else 1.0,
                 self.fetch_us(spec) / US,
@@ -228,35 +230,54 @@
     None if they never fit on these machines, however long one waits.
     """
     able = [s for s in seats if s.allows(spec, zone)]
-    times = sorted({end for s in able for end, _ in s.ends if end > now_us} | {now_us}
-                   | {h.until_us for s in able for h in s.holds if h.until_us > now_us})
-    if not able or _counts_at(spec, count, able, times[-1], run_us) is None:
+    whole = {s.mtype.name: room_of(s.mtype).how_many(spec, count) for s in able}
+    if not _enough(spec, count, _tally(spec, ((s, whole[s.mtype.name]) for s in able))):
         return None
-    for at_us in times:
-        plan = _counts_at(spec, count, able, at_us, run_us)
-        if plan is not None:
-            for seat, n in plan:
-                seat.holds.append(Hold(at_us, at_us + run_us, spec, n))
-            return at_us
+    # From one time to the next only those machines can hold more or less on which something ends, or
+    # kept room begins or ceases to be in the way.
+    ending: dict[int, set[Seat]] = {now_us: set()}
+    for seat in able:
+        turns = [end for end, _ in seat.ends]
+        for hold in seat.holds:
+            turns += (hold.until_us, hold.from_us - run_us + 1)
+        for turn_us in turns:
+            if turn_us > now_us:
+                ending.setdefault(turn_us, set()).add(seat)
+    counts = {s: s.room_at(now_us, run_us).how_many(spec, count) for s in able}
+    tally = _tally(spec, counts.items())
+    for at_us in sorted(ending):
+        for seat in ending[at_us]:
+            n = seat.room_at(at_us, run_us).how_many(spec, count)
+            key = _zone_key(spec, seat)
+            tally[key] = tally.get(key, 0) + n - counts[seat]
+            counts[seat] = n
+        if _enough(spec, count, tally):
+            plan = _counts_at(spec, count, able, at_us, run_us)
+            if plan is not None:
+                for seat, n in plan:
+                    seat.holds.append(Hold(at_us, at_us + run_us, spec, n))
+                return at_us
     return None
 
 
-def could_hold(spec: Spec, rooms: list[tuple[str, str, bool, Room]], count: int) -> bool:
-    """Whether machines with these types, zones, kinds and rooms could hold ``count`` tasks together."""
-    per_zone: dict[str, int] = {}
-    for mtype, zone, spot, room in rooms:
-        if (
-            (spec.types is None or mtype in spec.types)
-            and (spec.zone is None or spec.zone == zone)
-            and (spec.spot or not spot)
-        ):
-            per_zone[zone] = per_zone.get(zone, 0) + room.how_many(spec, count)
-    if not per_zone:
-        return False
+def _zone_key(spec: Spec, seat: Seat) -> str:
+    return seat.zone if spec.one_zone or spec.spread else ""
+
+
+def _tally(spec: Spec, counts: Iterable[tuple[Seat, int]]) -> dict[str, int]:
+    out: dict[str, int] = {}
+    for seat, n in counts:
+        key = _zone_key(spec, seat)
+        out[key] = out.get(key, 0) + n
+    return out
+
+
+def _enough(spec: Spec, count: int, zones: dict[str, int]) -> bool:
+    """Whether that many by zone are enough for tasks that run together."""
     if spec.one_zone:
-        return max(per_zone.values()) >= count
+        return max(zones.values(), default=0) >= count
     most = zone_limit(spec)
-    return sum(min(n, most) for n in per_zone.values()) >= count
+    return sum(min(n, most) for n in zones.values()) >= count
 
 
 def type_allowed(spec: Spec, mtype: MachineType) -> bool:
--- a/pearstep/core/preempt.py
+++ b/pearstep/core/preempt.py
@@ -1,108 +1,156 @@
-"""Preemption: which lower-priority tasks to stop so that a job of higher priority finds room."""
+"""Preemption: which tasks to stop so that a job that may take their place finds room."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 
 from .backfill import Item
+from .capacity import Capacity
 from .machine import Machine
-from .model import US
+from .model import US, Room
 from .placement import Seat, zone_limit
 from .task import HEARD, PLACED, Attempt
 
+Plan = list[tuple[Seat, list[Attempt]]]
 
-def _yielding(machine: Machine, priority: int, now_us: int) -> list[Attempt]:
-    """Tasks that may be stopped for the priority: the lowest first, then those that lose the least."""
-    able = [
-        a for a in machine.attempts.values()
-        if a.spec.priority > priority and a.stop_grace_us is None and a.state in (PLACED, HEARD)
-        and a.spec.kind != "gang"
-    ]  # fmt: skip
-    able.sort(key=lambda a: (-a.spec.priority, min(a.unsaved_us(now_us), a.spec.save_us), -a.placed_us))
-    return able
-
-
-def _make_room(item: Item, seat: Seat, machine: Machine, now_us: int) -> list[Attempt] | None:
-    """What to stop on this machine so that one more task fits; None if nothing would do."""
-    room = seat.room.copy()
-    out: list[Attempt] = []
-    if room.fits(item.spec):
-        return out
-    for a in _yielding(machine, item.spec.priority, now_us):
-        room.take(a.spec, -1)
-        out.append(a)
-        if room.fits(item.spec):
-            return out
-    return None
-
-
-def victims(
-    item: Item, seats: list[Seat], machines: Mapping[str, Machine], now_us: int
-) -> list[Attempt]:
-    """The tasks to stop for an item. The seats' rooms are used up as if it had started; where it fits
-    in room that is coming anyway, nothing is stopped."""
-    spec = item.spec
-    count = len(item.tasks) if spec.kind == "gang" else 1
-    able = [s for s in seats if s.allows(spec, item.zone) and s.name not in item.avoid]
-    best: list[tuple[Seat, list[Attempt]]] | None = None
-    zones = sorted({s.zone for s in able}) if spec.one_zone else [None]
-    rounds = 1 if spec.kind == "gang" else len(item.tasks)
-    stopped: list[Attempt] = []
-    for _ in range(rounds):
-        best = None
-        for zone in zones:
-            there = [s for s in able if zone is None or s.zone == zone]
-            plan = _plan(item, count, there, machines, stopped, now_us)
-            if plan is not None and (best is None or _price(plan, item) < _price(best, item)):
-                best = plan
-        if best is None:
-            break
-        for seat, ends in best:
-            for a in ends:
-                seat.room.take(a.spec, -1)
-                stopped.append(a)
-            seat.room.take(spec)
-    return stopped
 
+class Preemption:
+    """One look at the machines. The seats' rooms are used up as if the jobs that make room had
+    started; where one fits in room that is coming anyway, nothing is stopped."""
 
-def _price(plan: list[tuple[Seat, list[Attempt]]], item: Item) -> float:
-    """Tasks stopped, and seconds until the last image is there."""
-    return sum(len(ends) for _, ends in plan) + max(seat.fetch_us(item.spec) for seat, _ in plan) / US
+    def __init__(self, seats: list[Seat], machines: Mapping[str, Machine], now_us: int) -> None:
+        self.seats = seats
+        self.machines = machines
+        self.now_us = now_us
+        self._able: dict[int, dict[str, list[Attempt]]] = {}
+        self._most: dict[int, Capacity[Seat, str]] = {}
 
+    def _yielding(self, priority: int) -> dict[str, list[Attempt]]:
+        """Tasks that may be stopped for the priority, by machine: the lowest first, then those that lose
+        the least."""
+        found = self._able.get(priority)
+        if found is None:
+            found = self._able[priority] = {}
+            for seat in self.seats:
+                able = [
+                    a for a in self.machines[seat.name].attempts.values()
+                    if a.spec.priority > priority and a.stop_grace_us is None
+                    and a.state in (PLACED, HEARD) and a.spec.kind != "gang"
+                ]  # fmt: skip
+                if able:
+                    able.sort(key=lambda a: (
+                        -a.spec.priority, min(a.unsaved_us(self.now_us), a.spec.save_us), -a.placed_us
+                    ))  # fmt: skip
+                    found[seat.name] = able
+        return found
 
-def _plan(
-    item: Item, count: int, seats: list[Seat], machines: Mapping[str, Machine], stopped: list[Attempt],
-    now_us: int,
-) -> list[tuple[Seat, list[Attempt]]] | None:
-    """Machines for ``count`` tasks with what to stop on each: few stops, and the image near."""
-    spec = item.spec
-    plan: list[tuple[Seat, list[Attempt]]] = []
-    used: set[int] = {id(a) for a in stopped}
-    per_zone: dict[str, int] = {}
-    rooms = {s.name: s.room for s in seats}
-    most = zone_limit(spec)
-    try:
-        for seat in seats:
-            seat.room = seat.room.copy()
-        while len(plan) < count:
-            options = []
-            for seat in seats:
-                if per_zone.get(seat.zone, 0) >= most:
+    def _at_most(self, priority: int) -> Capacity[Seat, str]:
+        """What would fit if everything that may be stopped were."""
+        found = self._most.get(priority)
+        if found is None:
+            yielding = self._yielding(priority)
+
+            def room(seat: Seat) -> Room:
+                there = yielding.get(seat.name)
+                if not there:
+                    return seat.room
+                out = seat.room.copy()
+                for a in there:
+                    out.take(a.spec, -1)
+                return out
+
+            found = self._most[priority] = Capacity(self.seats, lambda s: s.zone, room)
+        return found
+
+    def victims(self, item: Item) -> list[Attempt]:
+        """The tasks to stop for an item."""
+        spec = item.spec
+        count = len(item.tasks) if spec.kind == "gang" else 1
+        yielding = self._yielding(spec.priority)
+        zones = self._at_most(spec.priority).by_group(spec)
+        if (max(zones.values(), default=0) if spec.one_zone else sum(zones.values())) < count:
+            return []
+        able = [s for s in self.seats if s.allows(spec, item.zone) and s.name not in item.avoid]
+        only = sorted({s.zone for s in able}) if spec.one_zone else [None]
+        stopped: list[Attempt] = []
+        for _ in range(1 if spec.kind == "gang" else len(item.tasks)):
+            best: Plan | None = None
+            for zone in only:
+                if zone is not None and zones.get(zone, 0) < count:
+                    continue
+                plan = self._plan(item, count, [s for s in able if zone is None or s.zone == zone], yielding)
+                if plan is not None and (best is None or _price(plan, item) < _price(best, item)):
+                    best = plan
+            if best is None:
+                break
+            for seat, ends in best:
+                for a in ends:
+                    seat.room.take(a.spec, -1)
+                    stopped.append(a)
+                    for able_there in self._able.values():
+                        if a in able_there.get(seat.name, ()):
+                            able_there[seat.name].remove(a)
+                seat.room.take(spec)
+                for most in self._most.values():
+                    most.changed(seat)
+            if not yielding:
+                break
+        return stopped
+
+    def _option(
+        self, item: Item, seat: Seat, room: Room, yielding: list[Attempt], used: set[int]
+    ) -> tuple[float, tuple[float, ...], str, Seat, list[Attempt]] | None:
+        """What to stop on this machine so that one more task fits; None if nothing would do."""
+        ends: list[Attempt] = []
+        if not room.fits(item.spec):
+            room = room.copy()
+            for a in yielding:
+                if id(a) in used:
                     continue
-                ends = _make_room(item, seat, machines[seat.name], now_us)
-                if ends is not None and not any(id(a) in used for a in ends):
-                    price = len(ends) + seat.fetch_us(spec) / US
-                    options.append((price, seat.cost(spec, item.queue), seat.name, seat, ends))
-            if not options:
+                room.take(a.spec, -1)
+                ends.append(a)
+                if room.fits(item.spec):
+                    break
+            else:
+                return None
+        price = len(ends) + seat.fetch_us(item.spec) / US
+        return price, seat.cost(item.spec, item.queue), seat.name, seat, ends
+
+    def _plan(
+        self, item: Item, count: int, seats: list[Seat], yielding: dict[str, list[Attempt]]
+    ) -> Plan | None:
+        """Machines for ``count`` tasks with what to stop on each: few stops, and the image near. After
+        each choice only the chosen machine is looked at again."""
+        spec = item.spec
+        plan: Plan = []
+        used: set[int] = set()
+        per_zone: dict[str, int] = {}
+        most = zone_limit(spec)
+        rooms: dict[str, Room] = {}
+        options = {
+            s.name: option for s in seats
+            if (option := self._option(item, s, s.room, yielding.get(s.name, []), used)) is not None
+        }  # fmt: skip
+        while len(plan) < count:
+            able = [o for o in options.values() if per_zone.get(o[3].zone, 0) < most]
+            if not able:
                 return None
-            _, _, _, seat, ends = min(options, key=lambda o: o[:3])
+            _, _, name, seat, ends = min(able, key=lambda o: o[:3])
+            room = rooms.setdefault(name, seat.room.copy())
             for a in ends:
-                seat.room.take(a.spec, -1)
+                room.take(a.spec, -1)
                 used.add(id(a))
-            seat.room.take(spec)
+            room.take(spec)
             per_zone[seat.zone] = per_zone.get(seat.zone, 0) + 1
             plan.append((seat, ends))
+            again = self._option(item, seat, room, yielding.get(name, []), used)
+            if again is None:
+                del options[name]
+            else:
+                options[name] = again
         return plan
-    finally:
-        for seat in seats:
-            seat.room = rooms[seat.name]
+
+
+def _price(plan: Plan, item: Item) -> float:
+    """Tasks stopped, and seconds until the last image is there."""
+    return sum(len(ends) for _, ends in plan) + max(seat.fetch_us(item.spec) for seat, _ in plan) / US
--- /dev/null
+++ b/pearstep/core/routing.py
@@ -0,0 +1,84 @@
+"""New routes of a job: which tasks each part may place, and the writes that make it so."""
+
+from __future__ import annotations
+
+from .job import Job
+from .model import bits, to_ranges
+from .picture import Slot
+from .records import CHUNK, RouteRec, place_key, route_key
+
+
+class Routing:
+    """New routes of a job, by part: tasks free of a zone, and tasks bound to one."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.masks: dict[int, dict[str | None, int]] = {}
+        self.moved = False
+        for part, route in job.routes.items():
+            keep = ~job.done
+            bound = 0
+            masks: dict[str | None, int] = {}
+            for zone, mask in route.zoned.items():
+                masks[zone] = mask & keep
+                bound |= mask
+            masks[None] = route.mask & ~bound & keep
+            self.masks[part] = masks
+        self.changed: set[int] = set()
+        self.wide: dict[int, str] | None = None
+        self.attempt = 0
+        self.at_us = 0
+
+    def go_wide(self, chosen: list[Slot], attempt: int, at_us: int) -> None:
+        """Spread the gang over machines of several parts, as one attempt."""
+        for part in self.masks:
+            self.remove(part, (1 << self.job.spec.tasks) - 1)
+        self.moved = True
+        self.wide = {}
+        self.attempt = attempt
+        self.at_us = at_us
+        for task, slot in enumerate(chosen):
+            self.wide[task] = slot.name
+            self.add(slot.part, None, 1 << task)
+
+    def add(self, part: int, zone: str | None, task_mask: int) -> None:
+        """Route tasks to a part."""
+        masks = self.masks.setdefault(part, {})
+        masks[zone] = masks.get(zone, 0) | task_mask
+        self.changed.add(part)
+
+    def take_back(self, part: int, task_mask: int) -> None:
+        """Withdraw a part's permission; what is placed already is stopped by its owner."""
+        for zone in self.masks[part]:
+            self.masks[part][zone] &= ~task_mask
+        self.changed.add(part)
+
+    def remove(self, part: int, task_mask: int) -> None:
+        """Take tasks back from a part that must not have placed them."""
+        self.take_back(part, task_mask)
+        self.moved = True
+
+    def writes(self) -> tuple[dict[str, RouteRec], dict[str, int]]:
+        """The records to put and the conditions that make it safe."""
+        ref = self.job.spec.ref
+        puts: dict[str, RouteRec] = {}
+        conditions: dict[str, int] = {}
+        for part in sorted(self.changed):
+            key = route_key(part, ref)
+            masks = self.masks[part]
+            zoned = {zone: to_ranges(mask) for zone, mask in masks.items() if zone is not None and mask}
+            mask = masks.get(None, 0)
+            if self.wide is None:
+                puts[key] = RouteRec(to_ranges(mask), zoned or None)
+            else:
+                there = {task: self.wide[task] for task in bits(mask)}
+                puts[key] = RouteRec(to_ranges(mask), None, self.attempt, there, self.at_us)
+            route = self.job.routes.get(part)
+            conditions[key] = route.stamp if route else 0
+        if self.moved:
+            # What is moved must not have been placed meanwhile.
+            for part in self.changed:
+                for chunk in range((self.job.spec.tasks - 1) // CHUNK + 1):
+                    placed = self.job.places.get((part, chunk))
+                    conditions[place_key(part, ref, chunk)] = placed.stamp if placed else 0
+        return puts, conditions
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -17,6 +17,7 @@
     HolderRec,
     JobRec,
     MachineRec,
+    Place,
     PlaceRec,
     RouteRec,
     decode,
@@ -48,6 +49,10 @@
         self.leader: Holder | None = None
         self.orphans: dict[str, list[tuple[str, int, bytes | None]]] = {}
         self.unreadable: list[str] = []
+        # What the records place on each machine, and the machines whose records have changed since the
+        # leader last looked: with hundreds of machines it must not count them all anew each time.
+        self.on: dict[str, dict[tuple[str, int], Place]] = {}
+        self.touched: set[str] = set()
 
     def stamp(self, key: str) -> int:
         """The last known revision of a key, 0 if it does not exist."""
@@ -75,11 +80,13 @@
         kind, *path = key.split("/")
         if kind == "r" and (job := self.jobs.get(path[1])):
             job.routes.pop(int(path[0]), None)
+            job.recount()
         elif kind == "p" and (job := self.jobs.get(path[1])):
-            job.places.pop((int(path[0]), int(path[2])), None)
+            self._count_places(job, job.places.pop((int(path[0]), int(path[2])), None), None)
             self._index(job)
         elif kind == "m":
             self.machines.pop(path[1], None)
+            self.touched.add(path[1])
         elif kind == "d":
             self.drains.pop(path[0], None)
         elif kind == "h":
@@ -114,17 +121,22 @@
             for part_mask in zoned.values():
                 mask |= part_mask
             job.routes[int(path[0])] = Route(rec, stamp, mask, zoned, now_us)
+            job.recount()
         elif isinstance(rec, PlaceRec):
             job = self.jobs.get(path[1])
             if job is None:
                 self._keep(path[1], key, stamp, rec)
                 return
             placed = Placed(rec, stamp, int(path[2]))
-            job.places[int(path[0]), int(path[2])] = placed
+            where = (int(path[0]), int(path[2]))
+            before = job.places.get(where)
+            job.places[where] = placed
             job.done |= placed.done
+            self._count_places(job, before, placed)
             self._index(job)
         elif isinstance(rec, MachineRec):
             self.machines[path[1]] = (int(path[0]), rec)
+            self.touched.add(path[1])
         elif isinstance(rec, DrainRec):
             self.drains[path[0]] = rec
         elif isinstance(rec, HireRec):
@@ -135,6 +147,24 @@
             else:
                 self.leader = Holder(rec.node, stamp)
 
+    def _count_places(self, job: Job, before: Placed | None, after: Placed | None) -> None:
+        ref = job.spec.ref
+        old = before.rec.run if before else {}
+        new = after.rec.run if after else {}
+        for task, place in old.items():
+            if new.get(task) != place:
+                self.touched.add(place.machine)
+                there = self.on.get(place.machine)
+                if there is not None:
+                    there.pop((ref, task), None)
+                    if not there:
+                        del self.on[place.machine]
+        for task, place in new.items():
+            if old.get(task) != place:
+                self.touched.add(place.machine)
+                self.on.setdefault(place.machine, {})[ref, task] = place
+        job.recount()
+
     def _keep(self, ref: str, key: str, stamp: int, rec: RouteRec | PlaceRec) -> None:
         self.orphans.setdefault(ref, []).append((key, stamp, msgspec.json.encode(rec)))
 
@@ -145,7 +175,3 @@
             self.open[ref] = job
         else:
             self.open.pop(ref, None)
-
-    def owner(self, part: int) -> Holder | None:
-        """Who holds a part."""
-        return self.parts.get(part)
--- a/pearstep/http.py
+++ b/pearstep/http.py
@@ -4,26 +4,76 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Collection
+from typing import Any
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    HTTPServerRequest,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import DefaultLoopResolver
+from tornado.tcpclient import TCPClient
 
 log = logging.getLogger("pearstep.http")
 
 NO_ANSWER = 0
+# Idle connections kept to one neighbour.
+KEPT = 8
 Answer = tuple[int, bytes, dict[str, str]]
 Handler = Callable[[HTTPServerRequest], Awaitable[Answer]]
 
 
+class _Numbers(DefaultLoopResolver):
+    """Addresses are IP numbers: no thread is needed to look them up."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        try:
+            socket.inet_aton(host)
+        except OSError:
+            return await super().resolve(host, port, family)
+        return [(socket.AF_INET, (host, port))]
+
+
+class _Reply(HTTPMessageDelegate):
+    """Collects one response."""
+
+    def __init__(self) -> None:
+        self.status = NO_ANSWER
+        self.last = False
+        self.whole = False
+        self.chunks: list[bytes] = []
+
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
+        self.status = start_line.code
+        self.last = headers.get("Connection", "").lower() == "close"
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.whole = True
+
+
 class Client:
-    """Requests to neighbours. Tornado queues beyond ``max_clients``, and long watches hold their
-    places, so there is room for far more than are ever open."""
+    """Requests to neighbours, on tornado's connections. Those to the addresses in ``kept`` stay open and
+    are used again: tornado's own client opens one per request, which with a large fleet took more
+    processor time than all decisions. No more than ``most`` requests are under way at once."""
 
-    def __init__(self, most: int = 200) -> None:
-        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(force_instance=True, max_clients=most)
+    def __init__(self, most: int = 200, kept: Collection[str] = ()) -> None:
+        self._room = asyncio.Semaphore(most)
+        self._idle: dict[str, list[IOStream]] = {addr: [] for addr in kept}
+        self._tcp = TCPClient(_Numbers())
+        self._params = HTTP1ConnectionParameters(max_body_size=64 * 1024 * 1024)
 
     async def fetch(
         self, addr: str, method: str, path: str, body: bytes | None = None, timeout_s: float = 4.0
@@ -31,26 +81,49 @@
         """Status and body; status NO_ANSWER if there was no answer, whatever the reason."""
         if method == "POST" and body is None:
             body = b""
-        request = HTTPRequest(
-            f"http://{addr}{path}",
-            method=method,
-            body=body,
-            connect_timeout=min(timeout_s, 2.0),
-            request_timeout=timeout_s,
-            follow_redirects=False,
-            headers={"Content-Type": "application/json"} if body else None,
-        )
+        stream: IOStream | None = None
         try:
-            response = await self._client.fetch(request, raise_error=False)
-        except asyncio.CancelledError:
-            raise
-        except Exception as err:  # noqa: BLE001 - a neighbour may answer anything at all
+            async with self._room, asyncio.timeout(timeout_s):
+                idle = self._idle.get(addr)
+                while idle and (stream is None or stream.closed()):
+                    stream = idle.pop()
+                if stream is None or stream.closed():
+                    host, _, port = addr.rpartition(":")
+                    async with asyncio.timeout(min(timeout_s, 2.0)):
+                        stream = await self._tcp.connect(host, int(port), max_buffer_size=64 * 1024 * 1024)
+                reply, again = await self._exchange(stream, addr, method, path, body)
+                if idle is not None and again and len(idle) < KEPT:
+                    idle.append(stream)
+                    stream = None
+                return (reply.status, b"".join(reply.chunks)) if reply.whole else (NO_ANSWER, b"")
+        except (TimeoutError, OSError, StreamClosedError, HTTPInputError, ValueError) as err:
             log.debug("%s %s%s: %s", method, addr, path, err)
             return NO_ANSWER, b""
-        if response.code == 599 or response.error is not None and response.code >= 599:
-            log.debug("%s %s%s: no answer", method, addr, path)
-            return NO_ANSWER, b""
-        return response.code, response.body or b""
+        finally:
+            if stream is not None:
+                stream.close()
+
+    async def _exchange(
+        self, stream: IOStream, addr: str, method: str, path: str, body: bytes | None
+    ) -> tuple[_Reply, bool]:
+        """One request and its response, and whether the connection can be used again."""
+        connection = HTTP1Connection(stream, True, self._params)
+        head = HTTPHeaders({"Host": addr})
+        if body is not None:
+            head["Content-Type"] = "application/json"
+            head["Content-Length"] = str(len(body))
+        if addr not in self._idle:
+            head["Connection"] = "close"
+        reply = _Reply()
+        # A failed write shows as a response that does not come.
+        sent = connection.write_headers(RequestStartLine(method, path, "HTTP/1.1"), head, body or None)
+        sent.add_done_callback(lambda done: done.cancelled() or done.exception())
+        connection.finish()
+        is_open = await connection.read_response(reply)
+        if not is_open or not reply.whole or reply.last or stream.closed():
+            return reply, False
+        connection.detach()
+        return reply, True
 
 
 class Server:
--- a/pearstep/settings.py
+++ b/pearstep/settings.py
@@ -11,7 +11,7 @@
 import yaml
 from msgspec import Meta
 
-from .core.model import US, Team
+from .core.model import NEVER_US, US, Team
 
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
@@ -126,14 +126,15 @@
     overrun: Positive = 0.25
     backlog: Count = 12
     spare_s: NotNegative = 4.0
+    urgent_s: NotNegative = 100.0
 
 
 class Renting(msgspec.Struct, forbid_unknown_fields=True):
     """When machines are rented and returned."""
 
     idle_s: Positive = 40.0
-    most_at_once: Annotated[int, Meta(ge=1, le=50)] = 10
-    most_machines: Count = 400
+    most_at_once: Annotated[int, Meta(ge=1, le=50)] = 50
+    most_machines: Count = 5000
     settle_s: NotNegative = 2.0
     refused_s: Positive = 15.0
     boot_factor: Positive = 3.0
@@ -158,6 +159,7 @@
     takeover_s: Positive = 3.0
     step_ms: Positive = 50.0
     follow_ms: Positive = 120.0
+    refresh_ms: Positive = 80.0
 
 
 class Tuning(msgspec.Struct, forbid_unknown_fields=True):
@@ -196,8 +198,16 @@
         self.parts = len(self.nodes)
         self.home = self.nodes.index(platform.node)
         self.teams = {t.name: Team(t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max) for t in params.teams}
-        # Classes that are to start soon after their submission.
-        self.urgent = frozenset(o.cls for o in params.objectives if o.kind == "wait")
+        # How soon after its submission a class is to start, and the classes for which that is soon.
+        self.aims: dict[str, int] = {}
+        for o in params.objectives:
+            if o.kind == "wait":
+                self.aims[o.cls] = min(self.aims.get(o.cls, NEVER_US), int(o.within_s * US))
+        urgent_us = int(tuning.backfilling.urgent_s * US)
+        self.urgent = frozenset(cls for cls, within_us in self.aims.items() if within_us <= urgent_us)
+        # A transaction needs all its changes in the budget at once. Seen: one of 16 changes, refused again
+        # and again at 20 a second, while the other nodes' small ones went through.
+        self.txn_ops = max(min(params.state.txn_ops, int(params.state.write_rps / self.parts)), 1)
         workers = params.workers
         self.lease_us = int(workers.lease_s * US)
         self.report_us = int(workers.report_s * US)
--- a/pearstep/store.py
+++ b/pearstep/store.py
@@ -61,7 +61,7 @@
         elif status == 429:
             self._requests.drain()
             log.info("state service: too many requests (%s)", path)
-            await asyncio.sleep(random.uniform(0.05, 0.25))
+            await asyncio.sleep(random.uniform(0.02, 0.08 if urgency == URGENT else 0.25))
         else:
             if self.refused_since is not None:
                 log.info("state service is back")
@@ -105,6 +105,11 @@
             return Outcome(REFUSED)
         return Outcome(UNKNOWN)
 
+    async def may_write(self) -> None:
+        """Wait until something may be written. Whoever gathers its writes only then gathers more of them
+        the scarcer the budget is."""
+        await self._writes.take(0.0)
+
     async def grant(self, ttl_ms: int) -> int | None:
         """A new lease, or None."""
         status, data = await self._ask("POST", wire.LEASES, wire.lease_body(ttl_ms), urgency=URGENT)
--- a/pearstep/users.py
+++ b/pearstep/users.py
@@ -21,6 +21,9 @@
 
 log = logging.getLogger("pearstep.users")
 
+# Transactions with submissions that may be under way at the same time.
+FLUSHES = 4
+
 
 def never_runs(spec: Spec, teams: dict[str, Team], types: dict[str, MachineType]) -> str | None:
     """Why the job can never run, or None."""
@@ -55,7 +58,7 @@
         self._retry = {"Retry-After": str(retry_after_s)}
         self._most = txn_ops
         self._queue: list[tuple[Spec, asyncio.Future[str]]] = []
-        self._flushing = False
+        self._flushes = 0
 
     def away(self, why: str) -> Answer:
         """Cannot be decided now; come back."""
@@ -153,13 +156,14 @@
     async def _accept(self, spec: Spec) -> str:
         future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._queue.append((spec, future))
-        if not self._flushing:
-            self._flushing = True
+        if self._flushes < FLUSHES:
+            self._flushes += 1
             asyncio.ensure_future(self._flush())
         return await future
 
     async def _flush(self) -> None:
-        """Group commit of submissions: whatever arrives during one transaction goes with the next."""
+        """Group commit of submissions: whatever arrives while transactions are under way goes with the
+        next. One that is answered late holds up its own submissions alone."""
         try:
             while self._queue:
                 group, self._queue = self._queue[: self._most], self._queue[self._most :]
@@ -181,7 +185,7 @@
                     elif not future.done():
                         future.set_result(outcome.state)
         finally:
-            self._flushing = False
+            self._flushes -= 1
 
     async def cancel(self, ref: str) -> Answer:
         """POST of a cancellation; a race with the job's end is decided by the transaction."""
--- a/pearstep/workers.py
+++ b/pearstep/workers.py
@@ -73,7 +73,8 @@
                           task.why or "")
         orders = owner.orders(machine)[:MOST_ORDERS]
         owner.answered(machine, now)
-        self.kick()
+        if owner.walk_due or owner.outbox:
+            self.kick()
         return 200, wire.orders_body(owner.token, orders), {}
 
     def perform(self, owner: Owner, actions: Actions) -> None:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -196,6 +196,23 @@
     assert w.owner.machines["m2"].free().cpus == 12
 
 
+def test_gang_whose_end_was_not_written_is_running_again_and_ends_again():
+    # Seen on a day of the grown padron-abierto-mvd: complete -> forming, in every step.
+    w = World()
+    w.machine("m1")
+    w.submit(spec(kind="gang", cpus=10.0))
+    w.run()
+    w.report("m1", ("req-1/0", 1, "running"), ("req-1/1", 1, "running"))
+    w.report("m1", ("req-1/0", 1, "exited", "done"), ("req-1/1", 1, "running"))
+    w.step()
+    batch = w.owner.gather(w.now, w.now)
+    w.owner.rejected(batch, w.now, w.now, unchanged=False)
+    w.step()
+    w.report("m1", ("req-1/0", 1, "exited", "done"), ("req-1/1", 1, "exited", "done"))
+    w.run()
+    assert w.view.jobs["req-1"].state == "done"
+
+
 def test_spot_notice_saves_the_whole_gang_in_time():
     w = World()
     for name in ("m1", "m2"):
