--- a/pearstep/core/gangs.py
+++ b/pearstep/core/gangs.py
@@ -16,7 +16,7 @@
     spec = job.spec
     if job.done:
         return
-    if any(r.rec.wide for r in job.routes.values()):
+    if job.wide:
         plan_wide(work, job)
         return
     if job.run:
--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -82,6 +82,11 @@
         """Whether every task is recorded as done; services never are."""
         return self.spec.kind != "service" and self.done == self.spec.all_tasks
 
+    @property
+    def wide(self) -> bool:
+        """Whether the leader has spread it over several parts."""
+        return any(route.rec.wide for route in self.routes.values())
+
     @property
     def waits(self) -> bool:
         """Whether some task is neither done nor placed anywhere."""
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -685,26 +685,38 @@
             recs = {task: self._rec(spec, task // CHUNK) for task in route.rec.wide}
             if any(rec.last >= route.rec.attempt or rec.attempts for rec in recs.values()):
                 continue  # each attempt is tried once
-            begun: list[Seat] = []
+            begun: dict[int, Seat] = {}
             end_us = now_us + self._run_us(spec)
-            for name in route.rec.wide.values():
+            for task, name in route.rec.wide.items():
                 seat = by_name.get(name)
                 if seat is None or not seat.room.fits(spec):
-                    break
+                    seat = self._instead(spec, name, seats)
+                    if seat is None:
+                        break
                 seat.start(spec, end_us)
-                begun.append(seat)
+                begun[task] = seat
             if len(begun) == len(recs) and wall_us >= route.rec.at_us:
-                for task, name in route.rec.wide.items():
+                for task, seat in begun.items():
                     recs[task].last = route.rec.attempt
-                    self._place(recs[task], task, name, route.rec.attempt, now_us, wall_us)
+                    self._place(recs[task], task, seat.name, route.rec.attempt, now_us, wall_us)
                 continue
-            for seat in begun:
+            for seat in begun.values():
                 seat.undo(spec, end_us)
             from_us = now_us + max(route.rec.at_us - wall_us, 0)
             for name in route.rec.wide.values():
                 if (kept := by_name.get(name)) is not None:
                     kept.holds.append(Hold(from_us, from_us + self._run_us(spec), spec, 1))
 
+    def _instead(self, spec: Spec, name: str, seats: list[Seat]) -> Seat | None:
+        """Another machine for a wide gang's task, in the zone of the one that the leader chose. Seen: a
+        machine was taken before the leader's choice arrived, and the gang's other tasks kept their
+        places for nothing until they gave up."""
+        known = self.view.machines.get(name)
+        if known is None:
+            return None
+        able = [s for s in seats if s.allows(spec, known[1].zone) and s.room.fits(spec)]
+        return min(able, key=lambda s: s.cost(spec, self.backfill.queue_of(spec)), default=None)
+
     def _place(self, rec: Rec, task: int, machine: str, number: int, now_us: int, wall_us: int) -> None:
         m = self.machines[machine]
         a = Attempt(rec.spec, task, machine, m.session, number, wall_us, now_us)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -389,6 +389,19 @@
     assert "req-1/0" not in {name for _, name, _ in w.starts(w.run())}  # the leader plans the next
 
 
+def test_share_of_a_wide_gang_goes_beside_a_machine_that_was_taken_meanwhile():
+    w = World(parts=2)
+    for name in ("m1", "m2"):
+        w.machine(name)
+    w.machine("m3", zone="b")
+    w.submit(spec("req-8", tasks=1, cpus=30.0))
+    taken = w.starts(w.run()).pop()[0]
+    route = RouteRec("0", None, 1, {0: taken}, w.now)
+    w.submit(spec("req-9", kind="gang", tasks=2, cpus=30.0, one_zone=True), route)
+    free = {"m1": "m2", "m2": "m1"}[taken]
+    assert w.starts(w.run()) == {(free, "req-9/0", 1)}
+
+
 def test_task_that_has_just_saved_gives_way_at_once():
     w = World()
     w.machine("m1")
