Split the owner by subject: part, reports, lives, placing, commits

Its methods are moved unchanged into layers that build on each other; what it is told and wants done stands in core/talk.py.

--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -17,8 +17,9 @@
 from .chief import Chief
 from .cloud import Cloud
 from .core.model import US, MachineType
-from .core.owner import Actions, Owner, OwnerConfig
+from .core.owner import Owner
 from .core.records import HolderRec
+from .core.talk import Actions, OwnerConfig
 from .core.view import View
 from .http import Answer, Client, Server
 from .mesh import Mesh
--- /dev/null
+++ b/pearstep/core/lives.py
@@ -0,0 +1,146 @@
+"""The lives of a part's machines and of what is on them: silence, draining, deletion, stops."""
+
+from __future__ import annotations
+
+from . import machine as mc
+from .gang import BREAKING, Gang
+from .machine import MACHINE, Machine
+from .model import US
+from .parts import part_of
+from .records import CANCELLED
+from .reports import Reports
+from .talk import IMMEDIATE, Actions
+from .task import HEARD, PLACED, PLACING, Attempt
+
+
+class Lives(Reports):
+    """Follows what time, cancellations, withdrawn routes and drains ask for."""
+
+    def _follow_cancels(self, now_us: int, wall_us: int, actions: Actions) -> None:
+        for key, rec in list(self.recs.items()):
+            job = self.view.jobs[rec.spec.ref]
+            if not rec.attempts:
+                if job.final and not rec.dirty and not rec.inflight:
+                    del self.recs[key]
+                continue
+            if job.state != CANCELLED:
+                continue
+            late = wall_us - job.end_us > self.cfg.cancel_us // 2
+            for a in rec.attempts.values():
+                self.stop(a, 0, now_us, actions)
+                if late:
+                    self.want_drain(a.machine, "stuck", wall_us)
+
+    def _follow_routes(self, now_us: int, actions: Actions) -> None:
+        """Stop what the leader has taken back: its team's limit is needed for something more urgent."""
+        for rec in self.recs.values():
+            if not rec.attempts or rec.inflight:
+                continue
+            job = self.view.jobs[rec.spec.ref]
+            route = job.routes.get(self.part)
+            mask = route.mask if route else 0
+            for task, a in rec.attempts.items():
+                if not mask >> task & 1 and a.state in (PLACED, HEARD) and not job.done >> task & 1:
+                    self._stop_whole(a, self._grace_us(a.spec), now_us, actions)
+
+    def _follow_gangs(self, now_us: int, actions: Actions) -> None:
+        by_gang: dict[str, list[Attempt]] = {}
+        for rec in self.recs.values():
+            if rec.spec.kind == "gang" and (rec.attempts or rec.spec.ref in self.gangs):
+                by_gang.setdefault(rec.spec.ref, []).extend(rec.attempts.values())
+        for ref, attempts in by_gang.items():
+            job = self.view.jobs[ref]
+            here = job.spec.tasks
+            route = job.routes.get(self.part)
+            if route is not None and route.rec.wide:
+                here = route.mask.bit_count()
+            gang = self.gangs.setdefault(ref, Gang())
+            done = any(rec.done for rec in self._recs_of(job.spec))
+            if gang.update(here, done, attempts) == BREAKING:
+                for a in attempts:
+                    if a.stop_grace_us is None:
+                        self.stop(a, 0, now_us, actions)
+            if not attempts:
+                del self.gangs[ref]
+
+    def _follow_machine(self, m: Machine, now_us: int, wall_us: int, actions: Actions) -> None:
+        cfg = self.cfg
+        drain = self.view.drains.get(m.name)
+        if m.attempts and m.confirmed and now_us - m.answered_us > cfg.lease_us + cfg.lease_us // 500 + US:
+            # It has seen our token, so only our answers kept its lease alive: it has run out there.
+            for a in list(m.attempts.values()):
+                if a.state != PLACING:
+                    self._end(m, a, "lost", now_us, wall_us)
+        if drain is not None:
+            if m.state not in (mc.DRAINING, mc.DELETING):
+                MACHINE.move(m, mc.DRAINING)
+                m.drain_us = now_us
+            m.why = drain.why
+            self._drain(m, now_us, actions)
+            return
+        quiet = now_us - m.heard_us
+        if m.state == mc.UP and quiet > 2 * cfg.report_us:
+            MACHINE.move(m, mc.SILENT)
+        if (m.state in (mc.UNSEEN, mc.SILENT) or not m.confirmed) and now_us >= m.probe_us:
+            m.probe_us = now_us + 3 * US
+            actions.probe(m.name)
+        if m.state in (mc.UNSEEN, mc.SILENT) and quiet > cfg.silent_us and not self._cut_off(m, now_us):
+            self.want_drain(m.name, "lost", wall_us)
+
+    def _cut_off(self, m: Machine, now_us: int) -> bool:
+        """Many machines of another zone silent at once: a cut, not many deaths. They work on inside."""
+        if m.zone == self.cfg.zone:
+            return False
+        same = [o for o in self.machines.values() if o.zone == m.zone and o.state != mc.DELETING]
+        silent = [o for o in same if now_us - o.heard_us > 2 * self.cfg.report_us]
+        return len(silent) >= 2 and len(silent) * 2 > len(same)
+
+    def _drain(self, m: Machine, now_us: int, actions: Actions) -> None:
+        if m.state != mc.DRAINING:
+            return
+        if m.why not in IMMEDIATE:
+            left = None if m.notice_us is None else max(m.notice_us - now_us, 0)
+            longest = 0
+            for a in list(m.attempts.values()):
+                grace = self._grace_us(a.spec)
+                if left is not None and left < a.spec.save_us:
+                    grace = 0
+                longest = max(longest, grace)
+                self._stop_whole(a, grace, now_us, actions)
+            if m.attempts and now_us - m.drain_us < longest + 10 * US:
+                return
+        if now_us >= m.delete_us:
+            MACHINE.move(m, mc.DELETING)
+            actions.deletes.append(m.name)
+
+    def _follow_early_deletes(self, now_us: int, actions: Actions) -> None:
+        """Machines that are to go before they ever reported to us."""
+        for name in self.view.drains:
+            if (
+                name not in self.machines and name not in self.gone
+                and part_of(name, self.cfg.parts) == self.part
+                and now_us >= self.early_deletes.get(name, 0)
+            ):  # fmt: skip
+                self.early_deletes[name] = now_us + 5 * US
+                actions.deletes.append(name)
+
+    def delete_failed(self, name: str, now_us: int) -> None:
+        """The cloud did not confirm; try again soon."""
+        m = self.machines.get(name)
+        if m is not None and m.state == mc.DELETING:
+            MACHINE.move(m, mc.DRAINING)
+            m.delete_us = now_us + US
+        self.early_deletes[name] = now_us + US
+
+    def deleted(self, name: str, now_us: int, wall_us: int) -> None:
+        """The cloud has confirmed: the machine and all that was on it are gone."""
+        m = self.machines.pop(name, None)
+        if m is not None:
+            for a in list(m.attempts.values()):
+                self._end(m, a, "lost", now_us, wall_us)
+            MACHINE.move(m, mc.GONE)
+        self.gone.add(name)
+        self.early_deletes.pop(name, None)
+        self.backfill.forget(name)
+        self.outbox[f"d/{name}"] = (None, {})
+        self.outbox[f"m/{self.part}/{name}"] = (None, {})
--- /dev/null
+++ b/pearstep/core/reports.py
@@ -0,0 +1,178 @@
+"""Reports of a part's machines: what they show, and the commands in their answers."""
+
+from __future__ import annotations
+
+from . import machine as mc
+from .machine import MACHINE, Machine
+from .model import US, Spec
+from .part import Part
+from .records import CANCELLED, CHUNK, MachineRec
+from .talk import Order, ReportSeen, split_task
+from .task import ATTEMPT, ENDED, HEARD, PLACED, PLACING, Attempt
+
+# How often a machine's images are recorded: they only help to choose, and writes are scarce.
+IMAGES_US = 20 * US
+
+
+class Reports(Part):
+    """Takes in reports. Only evidence that a task is gone frees its place, never silence."""
+
+    def on_report(self, rep: ReportSeen, now_us: int, wall_us: int) -> Machine | None:
+        """Take in a report. None if the machine cannot be used (unknown type, or deleted)."""
+        if rep.machine in self.gone:
+            return None
+        m = self.machines.get(rep.machine)
+        if m is None:
+            mtype = self.types.get(rep.type)
+            if mtype is None:
+                return None
+            m = Machine(rep.machine, mtype, rep.zone, rep.spot, rep.addr, now_us)
+            self.machines[rep.machine] = m
+        known = self.view.machines.get(m.name)
+        if known is None or known[1].addr != rep.addr:
+            m.addr = rep.addr
+            self._record_machine(m)
+        if (rep.session, rep.seq) <= (m.session, m.seq):
+            return m  # a late message: its task list is old
+        if rep.session > m.session or now_us - m.answered_us > self.cfg.lease_us:
+            # A session lives on for a lease from its beginning, or longer than was thought. Seen after
+            # a cut: counted from the last answer before it, the lease of a session just begun was over,
+            # and tasks placed in it a moment ago were freed and started twice.
+            m.answered_us = now_us
+        if rep.session > m.session:
+            self._new_session(m, rep.session, now_us, wall_us)
+        m.seq = rep.seq
+        m.heard_us = now_us
+        if rep.token == self.token and not m.confirmed:
+            m.confirmed = True
+            # Whoever answered before can do so no longer; its last answer is not later than this.
+            m.answered_us = now_us
+            self.walk_due = True
+        if m.state in (mc.UNSEEN, mc.SILENT):
+            MACHINE.move(m, mc.UP)
+            self.walk_due = True
+        if rep.notice_us is not None and m.notice_us is None:
+            m.notice_us = now_us + rep.notice_us
+            self.want_drain(m.name, "notice", wall_us)
+        self._match(m, rep, now_us, wall_us)
+        return m
+
+    def _record_machine(self, m: Machine) -> None:
+        rec = MachineRec(m.mtype.name, m.zone, m.spot, m.addr, dict(m.images))
+        self.outbox[f"m/{self.part}/{m.name}"] = (rec, {})
+
+    def _new_session(self, m: Machine, session: int, now_us: int, wall_us: int) -> None:
+        """The worker's lease ran out: it has killed and forgotten everything of earlier sessions."""
+        for attempt in [a for a in m.attempts.values() if a.session < session]:
+            self._end(m, attempt, "lost", now_us, wall_us)
+        m.session = session
+        m.reaps.clear()
+        m.open_directs.clear()
+        m.strays.clear()
+
+    def _match(self, m: Machine, rep: ReportSeen, now_us: int, wall_us: int) -> None:
+        strays: dict[tuple[str, int], Spec | None] = {}
+        seen: set[tuple[str, int]] = set()
+        m.reaps.intersection_update({(t.name, t.attempt) for t in rep.tasks})
+        for t in rep.tasks:
+            key = (t.name, t.attempt)
+            seen.add(key)
+            attempt = m.attempts.get(key)
+            if attempt is None:
+                if t.state == "exited":
+                    if key not in m.pending_ends:
+                        m.reaps.add(key)
+                else:
+                    job = self.view.jobs.get(split_task(t.name)[0])
+                    strays[key] = job.spec if job else None
+            elif t.state == "exited":
+                self._end(m, attempt, t.why or "error", now_us, wall_us, t.saved)
+            else:
+                if t.state != "fetching":
+                    m.holds_image(attempt.spec)
+                    known = self.view.machines.get(m.name)
+                    if (
+                        known is not None and attempt.spec.image not in known[1].images
+                        and now_us - m.recorded_us > IMAGES_US
+                    ):  # fmt: skip
+                        self._record_machine(m)
+                        m.recorded_us = now_us
+                attempt.heard(t.state, now_us)
+        if strays.keys() != m.strays.keys():
+            self.walk_due = True
+        m.strays = strays
+        if not m.confirmed:
+            return
+        for key, attempt in list(m.attempts.items()):
+            if key in seen or attempt.state == PLACING or key in m.open_directs:
+                continue
+            # Reports are sent one at a time, so this one came after any start in an earlier answer
+            # was executed or dropped; and no direct start is open.
+            if attempt.state == HEARD or (attempt.state == PLACED and attempt.stop_grace_us is not None):
+                self._end(m, attempt, "lost", now_us, wall_us)
+
+    def _end(
+        self, m: Machine, a: Attempt, why: str, now_us: int, wall_us: int, saved: bool = False
+    ) -> None:
+        """There is evidence that the attempt is gone: free its place and record it."""
+        ref, task = a.spec.ref, a.task
+        ATTEMPT.move(a, ENDED)
+        m.attempts.pop((a.name, a.number), None)
+        m.pending_ends.add((a.name, a.number))
+        rec = self._rec(a.spec, task // CHUNK)
+        if rec.attempts.get(task) is a:
+            del rec.attempts[task]
+        rec.dirty = True
+        self.walk_due = True
+        if why == "done":
+            rec.done |= 1 << task
+            if a.spec.kind == "gang":
+                # Gangs complete together: when one task is done, all are.
+                for t in range(a.spec.tasks):
+                    other = self._rec(a.spec, t // CHUNK)
+                    other.done |= 1 << t
+                    other.dirty = True
+            self.troubles.succeeded(m.name, ref)
+            begun = a.running_us or now_us
+            job = self.view.jobs.get(ref)
+            waited = a.at_us - job.at_us if job else 0
+            self.delay.completed(self.backfill.queue_of(a.spec) == 0, waited, now_us - begun)
+        elif why == "unknown":
+            self.troubles.unknown(ref, now_us)
+        elif why == "error":
+            if self.troubles.failed(m.name, ref, now_us):
+                self.want_drain(m.name, "sick", wall_us)
+        elif why in ("no_room", "busy"):
+            self.troubles.refused(m.name, ref, now_us)
+
+    def answered(self, m: Machine, now_us: int) -> None:
+        """An answer with our token is on its way to the worker: its lease lives on."""
+        m.answered_us = now_us
+
+    def orders(self, m: Machine) -> list[Order]:
+        """Commands for the answer to a report."""
+        out: list[Order] = []
+        for (name, number), a in m.attempts.items():
+            if a.stop_grace_us is not None:
+                if a.state in (PLACED, HEARD) and not (a.phase == "saving" and a.stop_grace_us):
+                    out.append(("stop", name, number, a.stop_grace_us / US))
+            elif a.state == PLACED and not self._cancelled(a.spec.ref):
+                out.append(("start", name, number, None))
+        for name, number in m.strays:
+            out.append(("stop", name, number, 0.0))
+        for key in m.reaps:
+            if key not in m.open_directs:
+                out.append(("forget", *key, None))
+        return out
+
+    def _cancelled(self, ref: str) -> bool:
+        job = self.view.jobs.get(ref)
+        return job is None or job.state == CANCELLED
+
+    def directs_sent(self, m: Machine, orders: list[Order]) -> None:
+        """Direct starts are on their way."""
+        m.open_directs.update((name, number) for op, name, number, _ in orders if op == "start")
+
+    def directs_answered(self, m: Machine, orders: list[Order]) -> None:
+        """The worker has executed them, or certainly will not."""
+        m.open_directs.difference_update((name, number) for op, name, number, _ in orders if op == "start")
--- /dev/null
+++ b/pearstep/core/talk.py
@@ -0,0 +1,83 @@
+"""What an owner is told and what it wants done, in the core's terms."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .model import US, Aims
+
+Order = tuple[str, str, int, float | None]
+IMMEDIATE = ("lost", "stuck")
+
+
+@dataclass
+class OwnerConfig:
+    """What the owner needs of the settings."""
+
+    parts: int
+    zone: str
+    lease_us: int
+    report_us: int
+    cancel_us: int
+    bounds_us: list[int]
+    initial_delay_us: int
+    batch: int
+    threshold: float
+    overrun: float
+    silent_us: int
+    sick_errors: int
+    suspect_machines: int
+    value_bytes: int
+    txn_ops: int
+    urgent: frozenset[str] = frozenset()
+    aims: Aims = field(default_factory=dict)
+    spare_us: int = 4 * US
+
+
+@dataclass
+class TaskSeen:
+    """A task in a report."""
+
+    name: str
+    attempt: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+
+
+@dataclass
+class ReportSeen:
+    """A report in the core's terms."""
+
+    machine: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice_us: int | None
+    tasks: list[TaskSeen] = field(default_factory=list)
+
+
+@dataclass
+class Actions:
+    """What the owner wants done outside."""
+
+    sends: dict[str, list[Order]] = field(default_factory=dict)
+    deletes: list[str] = field(default_factory=list)
+
+    def send(self, machine: str, order: Order) -> None:
+        """Add a direct command."""
+        self.sends.setdefault(machine, []).append(order)
+
+    def probe(self, machine: str) -> None:
+        """An empty direct command: it carries the token there and a report back."""
+        self.sends.setdefault(machine, [])
+
+
+def split_task(name: str) -> tuple[str, int]:
+    """The job and number in a task's name; number -1 if there is none."""
+    ref, _, number = name.partition("/")
+    return ref, int(number) if number.isdigit() else -1
