--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -52,8 +52,8 @@
         self.fleet = Fleet(
             view, types, settings.params.zones,
             FleetConfig(
-                us(renting.idle_s), renting.most_at_once, renting.most_machines, us(renting.settle_s),
-                us(renting.refused_s), renting.boot_factor, us(renting.boot_margin_s),
+                us(renting.idle_s), renting.most_at_once, renting.most_machines, us(renting.refused_s),
+                renting.boot_factor, us(renting.boot_margin_s),
                 renting.patience, tuning.backfilling.overrun, settings.urgent, settings.aims,
                 us(renting.move_s),
             ),
--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -75,7 +75,6 @@
         self.dirty = asyncio.Event()
         self.route_due = asyncio.Event()
         self.part_gone: dict[int, int] = {}
-        self.claiming = False
         self._refresh: asyncio.Future[bool] | None = None
         self._refreshing = False
         self._refreshed_us = 0
@@ -93,16 +92,19 @@
 
     # -- serving ---------------------------------------------------------------------------------
 
-    async def handle(self, request: HTTPServerRequest) -> Answer:
+    def handle(self, request: HTTPServerRequest) -> Answer | Awaitable[Answer]:
         """Everything that arrives on the public address."""
         path = request.path
         if path == wire.REPORT:
-            return await self.workers.report(request)
+            return self.workers.report(request)
         if path == wire.READY:
             if request.method != "GET":
                 return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
             ready = self.loaded and bool(self.types) and not self.alone
             return (200 if ready else 503), msgspec.json.encode({"ready": ready}), {}
+        return self._answer_user(request)
+
+    async def _answer_user(self, request: HTTPServerRequest) -> Answer:
         answer = await self.users.handle(request)
         return answer if answer is not None else (404, wire.error_answer("no such path"), {})
 
@@ -358,7 +360,7 @@
             batch=tuning.backfilling.batch,
             threshold=tuning.backfilling.threshold,
             overrun=tuning.backfilling.overrun,
-            silent_us=us(tuning.guarding.silent_s),
+            silent_us=s.silent_us,
             sick_errors=tuning.guarding.sick_errors,
             suspect_machines=tuning.guarding.suspect_machines,
             value_bytes=int(s.params.state.value_kb * 1024),
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -20,7 +20,6 @@
     idle_us: int
     most_at_once: int
     most_machines: int
-    settle_us: int
     refused_us: int
     boot_factor: float
     boot_margin_us: int
@@ -239,8 +238,6 @@
             mine = tasks.get(slot.name)
             if not mine or not slot.usable or not all(self._movable(spec, ran) for spec, ran in mine):
                 continue
-            if any(self.view.jobs[ref].wide for ref, _ in self.view.on[slot.name]):
-                continue  # owners stop their own share only: it would fall back to its last checkpoint
             if max(spec.estimate_us - ran for spec, ran in mine) < self.cfg.move_left_us:
                 continue
             waste = self._rate(slot) * min(
--- a/pearstep/core/gangs.py
+++ b/pearstep/core/gangs.py
@@ -17,6 +17,14 @@
     if job.done:
         return
     if job.wide:
+        if job.run and _loses_a_machine(work, job):
+            # Every owner stops its share with time to save once the route is gone; told by the owner of
+            # that machine alone, the others would notice too late, and the gang would fall back to its
+            # last checkpoint.
+            for part, route in job.routes.items():
+                if route.mask:
+                    work.routing(job).take_back(part, route.mask)
+            return
         plan_wide(work, job)
         return
     if job.run:
@@ -42,7 +50,11 @@
             return
         work.routing(job).remove(here, route.mask)
     if fit_now:
-        part = max(fit_now, key=lambda p: (picture.warm(spec, p), picture.together(spec, picture.now, p), -p))
+        spares = not spec.gpus and spec.cls in work.patient
+        part = max(fit_now, key=lambda p: (
+            spares and picture.together(spec, picture.now, p, plain=True) >= spec.tasks,
+            picture.warm(spec, p), picture.together(spec, picture.now, p), -p,
+        ))  # fmt: skip
         picture.take_gang(spec, part)
     elif here is None and plan_wide(work, job, at_once=True):
         return
@@ -66,6 +78,11 @@
         work.limits.charge(spec, spec.tasks)
 
 
+def _loses_a_machine(work: Pass, job: Job) -> bool:
+    drains = work.view.drains
+    return any(place.machine in drains for p in job.places.values() for place in p.rec.run.values())
+
+
 def plan_wide(work: Pass, job: Job, at_once: bool = False) -> bool:
     """A gang wider than any part: the leader chooses the machines and the time, the owners keep the
     room and start their tasks of the attempt. If the gang does not come together, its tasks exit,
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -14,6 +14,7 @@
 from .picture import Book, Picture, Slot
 from .placement import zone_limit
 from .planning import Pass
+from .records import QUEUED
 from .routing import Routing
 from .view import View
 
@@ -41,7 +42,7 @@
 
     def ordered(self, wall_us: int) -> list[Job]:
         """Jobs with tasks that wait, in the order in which they are served."""
-        jobs = [j for j in self.view.open.values() if j.waits]
+        jobs = [j for j in self.view.open.values() if j.waits or (j.wide and j.state == QUEUED)]
         jobs.sort(key=lambda j: (rank(j.spec, j.at_us, wall_us, self.aims), j.at_us, j.spec.ref))
         return jobs
 
@@ -54,6 +55,7 @@
             return []
         picture = Picture(self.slots(), range(self.parts))
         work = Pass(self.view, picture, Limits(self.view, self.teams), now_us, settle_us, wall_us)
+        work.patient = self._patient()
         for job in jobs:
             if job.spec.kind == "gang":
                 plan_gang(work, job)
@@ -65,6 +67,12 @@
         self.placeless = work.placeless
         return [r for r in work.routings.values() if r.changed]
 
+    def _patient(self) -> frozenset[str]:
+        """Classes that have time for a boot, and so also for an image: their gangs leave machines with
+        accelerators to others where they can."""
+        boot_us = max((t.boot_us for t in self.book.types.values()), default=0)
+        return frozenset(cls for cls, within in self.aims.items() if within[0] >= boot_us)
+
     def _plan_singly(self, work: Pass, job: Job) -> None:
         """The tasks of an array or a service. First what is routed and waits: it uses its part's room,
         or moves where there is room."""
@@ -133,7 +141,7 @@
         if spec.one_zone and used:
             return next(iter(used)) if len(used) == 1 else None
         zones = {
-            zone for (_, zone, _), n in work.picture.empty.by_group(spec).items()
+            zone for (_, zone, *_), n in work.picture.empty.by_group(spec).items()
             if n and (spec.one_zone or used.get(zone, 0) < zone_limit(spec))
         }  # fmt: skip
         return max(sorted(zones), key=lambda z: sum(work.picture.spare(spec, z).values()), default=None)
@@ -191,7 +199,7 @@
                 if waiting >= backlog:
                     break
                 able = {
-                    p for (p, there, _), n in work.picture.empty.by_group(spec).items()
+                    p for (p, there, *_), n in work.picture.empty.by_group(spec).items()
                     if n and (zone is None or zone == there)
                 }  # fmt: skip
                 if not able:
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -90,12 +90,6 @@
             not self.gpus_max or gpus <= self.gpus_max + EPS
         )
 
-    def within_guarantee(self, cpus: float, gpus: float) -> bool:
-        """Whether this much is covered by what the team was promised."""
-        return bool(self.cpus or self.gpus) and (
-            (not self.cpus or cpus <= self.cpus + EPS) and (not self.gpus or gpus <= self.gpus + EPS)
-        )
-
 
 class Room:
     """Free or used amounts of one machine."""
--- a/pearstep/core/picture.py
+++ b/pearstep/core/picture.py
@@ -9,8 +9,8 @@
 from .placement import Seat, zone_limit
 from .view import View
 
-# A part, a zone, and whether the machines are spot ones.
-Group = tuple[int, str, bool]
+# A part, a zone, whether the machines are spot ones, and whether they have accelerators.
+Group = tuple[int, str, bool, bool]
 
 
 class Slot:
@@ -54,7 +54,7 @@
 
 
 def _group(slot: Slot) -> Group:
-    return slot.part, slot.zone, slot.spot
+    return slot.part, slot.zone, slot.spot, slot.mtype.gpus > 0
 
 
 class Book:
@@ -120,12 +120,14 @@
             found = self._yielding[priority] = Capacity(self.slots, _group, lambda s: s.without(priority))
         return found
 
-    def together(self, spec: Spec, capacity: Capacity[Slot, Group], part: int | None = None) -> int:
+    def together(
+        self, spec: Spec, capacity: Capacity[Slot, Group], part: int | None = None, plain: bool = False
+    ) -> int:
         """How many tasks of the job fit at the same time in a part, or in all parts, counting the
-        zones that it may use together."""
+        zones that it may use together; ``plain``: on machines without accelerators."""
         zones: dict[str, int] = {}
-        for (p, zone, _), n in capacity.by_group(spec).items():
-            if part is None or p == part:
+        for (p, zone, _, gpus), n in capacity.by_group(spec).items():
+            if (part is None or p == part) and not (plain and gpus):
                 zones[zone] = zones.get(zone, 0) + n
         if not zones:
             return 0
@@ -137,7 +139,7 @@
     def spare(self, spec: Spec, zone: str | None, only_spot: bool = False) -> dict[int, int]:
         """How many tasks fit in each part, in its machines of one zone, or in its spot machines."""
         out: dict[int, int] = {}
-        for (p, there, spot), n in self.now.by_group(spec).items():
+        for (p, there, spot, _), n in self.now.by_group(spec).items():
             if n and (zone is None or zone == there) and (spot or not only_spot):
                 out[p] = out.get(p, 0) + n
         return out
@@ -147,7 +149,7 @@
         fullest."""
         if not any(
             n and p == part and (zone is None or zone == there)
-            for (p, there, _), n in self.now.by_group(spec).items()
+            for (p, there, *_), n in self.now.by_group(spec).items()
         ):
             return 0
         left = count
@@ -171,7 +173,7 @@
         zone = None
         if spec.one_zone:
             there: dict[str, int] = {}
-            for (p, z, _), n in self.now.by_group(spec).items():
+            for (p, z, *_), n in self.now.by_group(spec).items():
                 if p == part:
                     there[z] = there.get(z, 0) + n
             zone = next((z for z in sorted(there) if there[z] >= spec.tasks), None)
--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -24,6 +24,10 @@
     def seats(self, now_us: int) -> list[Seat]:
         """The machines that may be given tasks."""
         out = []
+        # Where even the most urgent class has time, seconds of image fetch matter less than accelerators.
+        # Seen: gangs that had 80 s went to accelerator machines to save 4 s, and arrays found no room.
+        nearest_us = min((within[0] for within in self.cfg.aims.values()), default=0)
+        spare_us = max(self.cfg.spare_us, nearest_us // 4)
         for m in self.machines.values():
             if (
                 m.state != mc.UP or not m.confirmed or m.notice_us is not None
@@ -38,7 +42,7 @@
             seat = Seat(
                 m.name, m.mtype, m.zone, m.spot, m.free(), m.images, self.backfill.label(m.name), ends
             )
-            seat.spare_us = self.cfg.spare_us
+            seat.spare_us = spare_us
             for _, spec in ends:
                 if spec.image not in m.images:
                     seat.fetching.add(spec.image)
--- a/pearstep/core/planning.py
+++ b/pearstep/core/planning.py
@@ -25,6 +25,7 @@
         self.load = {p: 0.0 for p in picture.by_part}
         # Tasks that were sent to a part so that others give way there.
         self.promised: dict[int, int] = {}
+        self.patient: frozenset[str] = frozenset()
         self.unplaced: list[tuple[Job, int]] = []
         self.placeless: list[tuple[Job, int]] = []
         self.routings: dict[str, Routing] = {}
--- a/pearstep/core/task.py
+++ b/pearstep/core/task.py
@@ -21,7 +21,7 @@
 
     __slots__ = (
         "spec", "task", "machine", "session", "number", "at_us", "state", "phase", "placed_us",
-        "running_us", "stop_grace_us", "stop_us", "direct_open", "expect_us",
+        "running_us", "stop_grace_us", "stop_us",
     )  # fmt: skip
 
     def __init__(
@@ -39,10 +39,6 @@
         self.running_us = 0
         self.stop_grace_us: int | None = None
         self.stop_us = 0
-        # A direct start command without an answer may still be executed: until the session or token
-        # changes, this attempt must neither be reaped nor be taken for absent.
-        self.direct_open = False
-        self.expect_us = 0
 
     @property
     def name(self) -> str:
--- a/pearstep/http.py
+++ b/pearstep/http.py
@@ -28,7 +28,9 @@
 # Idle connections kept to one neighbour.
 KEPT = 8
 Answer = tuple[int, bytes, dict[str, str]]
-Handler = Callable[[HTTPServerRequest], Awaitable[Answer]]
+# What can be answered at once is returned, anything else is awaited.
+Handler = Callable[[HTTPServerRequest], Answer | Awaitable[Answer]]
+FAILED: Answer = (500, b'{"error":"internal"}', {})
 
 
 class _Numbers(DefaultLoopResolver):
@@ -138,20 +140,35 @@
         self._server.listen(port, address=host, backlog=512)
 
     def _accept(self, request: HTTPServerRequest) -> None:
-        asyncio.ensure_future(self._serve(request))
-
-    async def _serve(self, request: HTTPServerRequest) -> None:
         try:
-            status, body, headers = await self._handler(request)
+            answer = self._handler(request)
         except Exception:
             log.exception("%s %s", request.method, request.path)
-            status, body, headers = 500, b'{"error":"internal"}', {}
+            answer = FAILED
+        if isinstance(answer, tuple):
+            # Most requests are workers' reports, decided at once: no task of the event loop for those.
+            self._reply(request, answer)
+        else:
+            asyncio.ensure_future(self._serve(request, answer))
+
+    async def _serve(self, request: HTTPServerRequest, coming: Awaitable[Answer]) -> None:
+        try:
+            answer = await coming
+        except Exception:
+            log.exception("%s %s", request.method, request.path)
+            answer = FAILED
+        self._reply(request, answer)
+
+    def _reply(self, request: HTTPServerRequest, answer: Answer) -> None:
         connection = request.connection
         if connection is None:
             return
+        status, body, headers = answer
         head = HTTPHeaders({"Content-Type": "application/json", "Content-Length": str(len(body)), **headers})
         try:
-            await connection.write_headers(ResponseStartLine("HTTP/1.1", status, "x"), head, body)
+            sent = connection.write_headers(ResponseStartLine("HTTP/1.1", status, "x"), head, body)
+            # The other side may be gone.
+            sent.add_done_callback(lambda done: done.cancelled() or done.exception())
             connection.finish()
         except Exception as err:  # noqa: BLE001 - the other side may be gone
             log.debug("answer to %s lost: %s", request.path, err)
--- a/pearstep/settings.py
+++ b/pearstep/settings.py
@@ -210,7 +210,8 @@
         self.lease_us = int(workers.lease_s * US)
         self.report_us = int(workers.report_s * US)
         self.cancel_us = int(workers.cancel_s * US)
-        self.gang_peer_us = int(workers.gang_peer_s * US)
+        # Two reports may be lost on the way without anything being wrong with the machine.
+        self.silent_us = max(int(tuning.guarding.silent_s * US), 3 * self.report_us)
 
 
 def us(seconds: float) -> int:
--- a/pearstep/store.py
+++ b/pearstep/store.py
@@ -47,7 +47,6 @@
         self._writes = writes
         self._now_us = now_us
         self.refused_since: int | None = None
-        self.last_ok_us = 0
 
     async def _ask(
         self, method: str, path: str, body: bytes | None = None, timeout_s: float = 3.0, urgency: int = NORMAL
@@ -66,7 +65,6 @@
             if self.refused_since is not None:
                 log.info("state service is back")
             self.refused_since = None
-            self.last_ok_us = self._now_us()
         return status, data
 
     async def txn(
--- a/pearstep/workers.py
+++ b/pearstep/workers.py
@@ -48,7 +48,7 @@
         self.wall_us = wall_us
         self.kick = kick
 
-    async def report(self, request: HTTPServerRequest) -> Answer:
+    def report(self, request: HTTPServerRequest) -> Answer:
         """Answer a worker's report."""
         if request.method != "POST":
             return 405, wire.error_answer("method not allowed"), {"Allow": "POST"}
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -3,7 +3,7 @@
 from pearstep.core.fleet import Fleet, FleetConfig
 from pearstep.core.leader import Leader
 from pearstep.core.model import US, Team, from_ranges
-from pearstep.core.records import CANCELLED, HireRec, HolderRec, JobRec, Place, PlaceRec, RouteRec
+from pearstep.core.records import CANCELLED, DrainRec, HireRec, HolderRec, JobRec, Place, PlaceRec, RouteRec
 from pearstep.core.view import View
 
 from .world import TYPES, Ledger, machine_rec, spec
@@ -19,7 +19,7 @@
         for part in range(parts):
             self.put(f"part/{part}", HolderRec(f"n{part}"))
         self.leader = Leader(1, self.view, TYPES, {t.name: t for t in teams}, parts, 12)
-        cfg = FleetConfig(40 * US, 10, 100, 0, 15 * US, 3.0, 15 * US)
+        cfg = FleetConfig(40 * US, 10, 100, 15 * US, 3.0, 15 * US)
         self.fleet = Fleet(self.view, TYPES, ["a", "b"], cfg)
 
     def put(self, key, value):
@@ -224,3 +224,25 @@
     o.submit(spec("req-1", kind="gang", tasks=2, cpus=30.0), at=1)
     o.route()
     assert {r.rec.at_us for r in o.view.jobs["req-1"].routes.values()} == {300 * US}
+
+
+def test_wide_gang_that_loses_a_machine_is_stopped_in_all_parts_at_once():
+    # Seen: the owner of a machine that was emptied stopped its own share, the others noticed when it was
+    # too late to save, and the gang fell back to its last checkpoint.
+    o = Office()
+    for n in range(4):
+        o.machine(f"m{n}", n % 2)
+    o.submit(spec("req-1", kind="gang", tasks=4, cpus=30.0))
+    o.route()
+    for part in (0, 1):
+        rec = o.view.jobs["req-1"].routes[part].rec
+        o.put(f"p/{part}/req-1/0", PlaceRec({t: Place(m, 1, 1, 1) for t, m in rec.wide.items()}, "0", 1))
+    assert sum(mask.bit_count() for mask in o.route().values()) == 4
+    o.put("d/m1", DrainRec("notice", o.now))
+    assert o.route() == {}
+    assert o.route() == {}  # and not routed again before all of it is gone
+    for part in (0, 1):
+        o.put(f"p/{part}/req-1/0", PlaceRec({}, "0", 1))
+    o.machine("m4", 1)
+    o.route()
+    assert {r.rec.attempt for r in o.view.jobs["req-1"].routes.values() if r.mask} == {2}
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -441,3 +441,20 @@
     w.later(6)
     w.report("m1")
     assert w.starts(w.run())
+
+
+def test_gang_with_time_leaves_accelerators_alone_although_the_image_is_there():
+    def chosen(aim_s):
+        w = World(urgent=frozenset(["c"]), aims={"c": (aim_s * US,)})
+        w.machine("gpu", mtype="big")
+        w.submit(spec("req-8", tasks=1, cpus=96.0))
+        w.run()
+        w.report("gpu", ("req-8/0", 1, "running"))
+        w.report("gpu", ("req-8/0", 1, "exited", "done"))
+        w.run()
+        w.machine("plain")
+        w.submit(spec("req-9", kind="gang", tasks=1, image_gb=8.0))
+        return w.starts(w.run())
+
+    assert chosen(10) == {("gpu", "req-9/0", 1)}  # 16 s of fetch against accelerators spared
+    assert chosen(80) == {("plain", "req-9/0", 1)}
