--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -60,7 +60,8 @@
         )  # fmt: skip
         self.requests = 0
         self.asked: dict[str, int] = {}
-        self.list_us = 0
+        self.list_us = -(1 << 60)
+        self.seen_list = False
         self.since_us = now_us()
         self.ownerless_us = now_us()
 
@@ -119,6 +120,11 @@
             return
         if len(self.view.parts) == self.settings.parts:
             self.ownerless_us = now
+        if now - self.list_us > 8_000_000:
+            self.list_us = now
+            await self._check_list()
+        if not self.seen_list:
+            return  # what a former leader rented may be gone: only the list tells
         short = self.leader.unplaced + self.leader.placeless
         for wish in self.fleet.wishes(short, now, wall):
             await self._hire(wish)
@@ -130,9 +136,6 @@
         if drains:
             await self._drain(drains)
         await self._tidy_hires()
-        if now - self.list_us > 8_000_000:
-            self.list_us = now
-            await self._check_list()
 
     async def _hire(self, wish: Wish) -> None:
         self.requests += 1
@@ -185,8 +188,11 @@
         """Machines that failed, or that nobody expects and that never came up, are deleted."""
         listed = await self.cloud.machines()
         if listed is None:
+            self.list_us = self.now_us() - 7_000_000
             return
         wall = self.wall_us()
+        self.seen_list = True
+        self.fleet.listed({item.name for item in listed}, us(self.settings.params.cloud.list_lag_s), wall)
         drains: dict[str, DrainRec] = {}
         known = {m for rec in self.view.hires.values() for m in rec.machines or ()}
         for item in listed:
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -123,6 +123,15 @@
         for name in [n for n in self.idle_since if n not in self.view.machines]:
             del self.idle_since[name]
 
+    def listed(self, names: set[str], lag_us: int, wall_us: int) -> None:
+        """The cloud's list has come. What is missing in it long after it was rented is gone, not booting.
+        Seen: each new leader took every machine deleted before its time for one that boots, counted on
+        its room, and asked for its deletion again and again."""
+        for name, (rec, _) in list(self.booting.items()):
+            if name not in names and wall_us - rec.at_us > 3 * lag_us:
+                self.came_up.add(name)
+                del self.booting[name]
+
     def _horizon_us(self, cls: str, longest_boot_us: int) -> int:
         """How long work of a class may wait for running tasks to end instead of having a machine rented
         for it: as long as a boot takes, unless the class is to start sooner, or may start later."""
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -169,6 +169,19 @@
     assert {n: r.why for n, r in returned.items()} == {"m0": "idle", "m9": "never came up"}
 
 
+def test_new_leader_does_not_wait_for_machines_that_were_deleted_before_its_time():
+    o = Office()
+    o.now = 1000 * US
+    o.put("h/r-1-1", HireRec("small", "a", False, 2, o.now - 100 * US, ["gone", "slow"]))
+    o.put("h/r-1-2", HireRec("small", "a", False, 1, o.now - 5 * US, ["new"]))
+    o.fleet.follow(o.now, o.now)
+    assert set(o.fleet.booting) == {"gone", "slow", "new"}
+    o.fleet.listed({"slow"}, 3 * US, o.now)  # the list lags: what is new may be missing
+    o.fleet.follow(o.now, o.now)
+    assert set(o.fleet.booting) == {"slow", "new"}
+    assert set(o.fleet.returns(True, o.now, o.now)) == {"slow"}
+
+
 def test_moves_empty_the_machine_that_wastes_most_if_its_work_fits_on_busy_ones():
     o = Office()
     o.fleet.cfg.move_us = US
