A plan is written under the stamps it was made from; what is withdrawn is read again

Cause: the leader's plans wait for the write budget, and their conditions were taken when they were written. Found by reading beside it: a route that is taken back says nothing of placements, so the leader now reads the state again before it plans anew.

--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -82,11 +83,24 @@
             await self.fresh()
         return outcome.state
 
+    def current(self) -> bool:
+        """Whether this leadership is not known to be over."""
+        return self.view.leader is not None and self.view.leader.stamp == self.stamp
+
     def plan(self) -> list[Routing]:
         """The routes that should change."""
         return self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s), self.wall_us())
 
     async def write(self, plans: list[Routing]) -> None:
+        """Write new routes."""
+        await self._write_all(plans)
+        if any(plan.withdrawn and not plan.moved for plan in plans):
+            # Nothing was said of what is placed there: an owner may have placed a task before its route
+            # was taken back. Before such a task can be routed anew, that must be known here.
+            while self.current() and not await self.fresh():
+                await asyncio.sleep(0.2)
+
+    async def _write_all(self, plans: list[Routing]) -> None:
         """Write new routes, as many as fit a transaction at a time. What was planned together is written
         together: a hundred jobs that came at once would otherwise wait for a pass each dozen. A plan of
         which the world has moved on fails on its conditions, and the rest is planned afresh."""
@@ -115,10 +129,11 @@
         await self._repeat_hires(now)
         if now - self.since_us < us(self.settings.tuning.renting.settle_s):
             return
-        if len(self.view.parts) < self.settings.parts and now - self.ownerless_us < 15_000_000:
+        held = sum(bool(holder.node) for holder in self.view.parts.values())
+        if held < self.settings.parts and now - self.ownerless_us < 15_000_000:
             # A part without an owner looks like machines without room; it is taken over in seconds.
             return
-        if len(self.view.parts) == self.settings.parts:
+        if held == self.settings.parts:
             self.ownerless_us = now
         if now - self.list_us > 8_000_000:
             self.list_us = now
--- a/pearstep/core/routing.py
+++ b/pearstep/core/routing.py
@@ -13,16 +13,22 @@
 
     def __init__(self, job: Job) -> None:
         self.job = job
+        # What the plan is made from. Seen: plans wait for the write budget, and a plan with the stamps of the
+        # time at which it was written moved a task that had been placed in between: it ran twice.
+        self.route_stamps = {part: route.stamp for part, route in job.routes.items()}
+        self.place_stamps = {where: placed.stamp for where, placed in job.places.items()}
         self.masks: dict[int, dict[str | None, int]] = {}
         self.moved = False
+        self.withdrawn = False
         for part, route in job.routes.items():
-            keep = ~job.done
+            # What is done stays in: a list with a gap for each task that has ended, out of thousands, would
+            # not fit into a record.
             bound = 0
             masks: dict[str | None, int] = {}
             for zone, mask in route.zoned.items():
-                masks[zone] = mask & keep
+                masks[zone] = mask
                 bound |= mask
-            masks[None] = route.mask & ~bound & keep
+            masks[None] = route.mask & ~bound
             self.masks[part] = masks
         self.changed: set[int] = set()
         self.wide: dict[int, str] | None = None
@@ -52,6 +58,7 @@
         for zone in self.masks[part]:
             self.masks[part][zone] &= ~task_mask
         self.changed.add(part)
+        self.withdrawn = True
 
     def remove(self, part: int, task_mask: int) -> None:
         """Take tasks back from a part that must not have placed them."""
@@ -73,12 +80,10 @@
             else:
                 there = {task: self.wide[task] for task in bits(mask)}
                 puts[key] = RouteRec(to_ranges(mask), None, self.attempt, there, self.at_us)
-            route = self.job.routes.get(part)
-            conditions[key] = route.stamp if route else 0
+            conditions[key] = self.route_stamps.get(part, 0)
         if self.moved:
             # What is moved must not have been placed meanwhile.
             for part in self.changed:
                 for chunk in range((self.job.spec.tasks - 1) // CHUNK + 1):
-                    placed = self.job.places.get((part, chunk))
-                    conditions[place_key(part, ref, chunk)] = placed.stamp if placed else 0
+                    conditions[place_key(part, ref, chunk)] = self.place_stamps.get((part, chunk), 0)
         return puts, conditions
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -108,6 +108,24 @@
     assert o.ledger.txn(conditions, puts) == ["p/0/req-2/0"]
 
 
+def test_plan_made_before_a_task_was_placed_does_not_move_it_when_it_is_written_later():
+    o = Office()
+    o.machine("m0", 0)
+    o.submit(spec("req-1", tasks=3))
+    o.route()
+    o.machine("m1", 1)
+    o.place(0, "req-1", [0])
+    o.put("j/req-2", JobRec(spec("req-2", tasks=2, priority=0), 0))
+    o.put("r/0/req-2", RouteRec("0-1"))
+    o.place(0, "req-2", [0, 1])
+    o.now += 10 * US
+    plan = next(p for p in o.leader.plan(o.now, 2 * US, o.now) if p.job.spec.ref == "req-1")
+    assert plan.moved
+    o.place(0, "req-1", [0, 1, 2])  # heard of while the plan waits for the write budget
+    puts, conditions = plan.writes()
+    assert o.ledger.txn(conditions, puts) == ["p/0/req-1/0"]
+
+
 def test_scattered_tasks_are_bound_to_zones_within_half_and_together_to_one():
     o = Office()
     for n in range(6):
