One notion of which neighbours a node reaches; a node that stood still judges nothing

Cause: a node cut from its workers alone kept its part and deleted the machines as lost; one that stood still judged silence by old ears. core/reach.py is one state machine (whole, woken, lacking): a neighbour that peers reach and we do not makes a node give up what it holds, by a record that needs no patience, and claim again only after it reaches it itself, more rarely each time. An outage for all changes nothing. Ruled out by reading: a lease prolonged by an answer sent late (it counts from when the report was sent); commands, commits and rentals of a woken node (all are conditional on stamps, or repeated by name). While the state service is away polls and submissions are told so at once. controller.py is split: following (the view), holding (lease, parts, lead), clocks.

--- a/pearstep/cloud.py
+++ b/pearstep/cloud.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -26,6 +27,8 @@
         self._client = client
         self._addr = addr
         self._budget = budget
+        # Told of each answer, and of each that did not come: whether the cloud serves us.
+        self.note: Callable[[bool], None] = lambda ok: None
 
     async def _ask(
         self, method: str, path: str, body: bytes | None = None, urgency: int = NORMAL
@@ -38,6 +41,7 @@
             # Not executed: the nodes share the rate, and another one has used it up.
             self._budget.drain()
             await asyncio.sleep(random.uniform(0.1, 0.4))
+        self.note(status not in (0, 503) or b"no capacity" in data)
         return status, data
 
     async def types(self) -> dict[str, MachineType] | None:
--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -1,12 +1,11 @@
-"""Joins the core to its neighbours: follows the state service, holds parts and the lead, and carries
-out what the core decides."""
+"""Joins the core to its neighbours: serves requests, and carries out what the core decides. Following the
+state service is ``following``, parts and the lead are ``holding``."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import random
-import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -15,17 +14,21 @@
 from . import wire
 from .budget import Budget
 from .chief import Chief
+from .clocks import now_us, wall_us
 from .cloud import Cloud
 from .core.model import US, MachineType
 from .core.owner import Owner
-from .core.records import HolderRec
+from .core.reach import STATE
 from .core.talk import Actions, OwnerConfig
 from .core.view import View
+from .following import Follower
+from .holding import Holding
 from .http import Answer, Client, Server
 from .mesh import Mesh
 from .settings import Settings, address, us
-from .store import COMMITTED, CONFLICT, NO_LEASE, REFUSED, Store
+from .store import COMMITTED, REFUSED, Store
 from .users import Users
+from .watch import Watch
 from .workers import Workers
 
 log = logging.getLogger("pearstep")
@@ -34,16 +37,6 @@
 PACE = 39
 
 
-def now_us() -> int:
-    """The steady clock."""
-    return time.monotonic_ns() // 1000
-
-
-def wall_us() -> int:
-    """The time of day."""
-    return time.time_ns() // 1000
-
-
 class Controller:
     """One node."""
 
@@ -68,27 +61,27 @@
         self.view = View()
         self.types: dict[str, MachineType] = {}
         self.owners: dict[int, Owner] = {}
-        self.chief: Chief | None = None
-        self.lease: int | None = None
-        self.loaded = False
-        self.alone = False
         self.dirty = asyncio.Event()
         self.route_due = asyncio.Event()
-        self.part_gone: dict[int, int] = {}
-        self._refresh: asyncio.Future[bool] | None = None
-        self._refreshing = False
-        self._refreshed_us = 0
+        self.follower = Follower(
+            self.store, self.view, settings.tuning.leading, self._changed, self._holders_changed
+        )
         self._committing: set[int] = set()
         self.users = Users(
-            self.store, self.view, settings.teams, self.fresh, self.applied, wall_us,
+            self.store, self.view, settings.teams, self.follower.fresh, self.follower.applied, wall_us,
             settings.tuning.guarding.retry_after_s, settings.txn_ops,
         )  # fmt: skip
         self.workers = Workers(
             client, self.view, self.owners, self.node, settings.parts, now_us, wall_us, self.dirty.set
         )
-        self.mesh = Mesh(
-            client, self.node, [o.peer_addr for o in settings.platform.others], self._state_ok
-        )
+        self.mesh = Mesh(client, [o.peer_addr for o in settings.platform.others])
+        self.watch = Watch(settings, self.store, self.cloud, self.workers, self.mesh, self.view,
+                           self.owners, now_us)
+        self.holding = Holding(
+            settings, self.store, self.view, self.types, self.owners, self.follower, self.watch,
+            self._new_owner, self._new_chief, self._gained,
+        )  # fmt: skip
+        self.workers.awake = self.holding.awake
 
     # -- serving ---------------------------------------------------------------------------------
 
@@ -100,7 +93,7 @@
         if path == wire.READY:
             if request.method != "GET":
                 return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
-            ready = self.loaded and bool(self.types) and not self.alone
+            ready = self.follower.loaded and bool(self.types) and STATE not in self.watch.reach.lacks
             return (200 if ready else 503), msgspec.json.encode({"ready": ready}), {}
         return self._answer_user(request)
 
@@ -108,9 +101,6 @@
         answer = await self.users.handle(request)
         return answer if answer is not None else (404, wire.error_answer("no such path"), {})
 
-    def _state_ok(self) -> bool:
-        return self.loaded and self.store.refused_since is None
-
     async def run(self) -> None:
         """Until the process is killed."""
         host, port = address(self.settings.platform.bind)
@@ -120,8 +110,8 @@
         log.info("node %s on %s:%d, part %d of %d", self.node, host, port, self.settings.home,
                  self.settings.parts)
         loops: list[Callable[[], Awaitable[None]]] = [
-            self._follow, self._keep_lease, self._claim_loop, self._step_loop, self._lead_loop,
-            self._types_loop, self._alone_loop, self._fleet_loop,
+            self.follower.follow, self.holding.keep_lease, self.holding.claim, self.holding.look,
+            self.holding.tick, self._step_loop, self._lead_loop, self._types_loop, self._fleet_loop,
         ]  # fmt: skip
         await asyncio.gather(*(self._forever(loop) for loop in loops))
 
@@ -134,74 +124,24 @@
                 log.exception("%s failed", loop.__name__)
                 await asyncio.sleep(0.5)
 
-    # -- following the state service -------------------------------------------------------------
-
-    async def _load(self) -> bool:
-        listing = await self.store.list_all()
-        if listing is None:
-            return False
-        pairs, revision = listing
-        listed = set()
-        for pair in pairs:
-            listed.add(pair.key)
-            self._put(pair.key, pair.version, bytes(pair.value))
-        for key in [k for k in self.view.stamps if k not in listed]:
-            if self.view.stamps[key] <= revision:
-                self.view.delete(key, revision + 1)
-        self.view.revision = max(self.view.revision, revision)
-        if not self.loaded:
-            log.info("loaded %d keys at revision %d, %d open jobs", len(pairs), revision,
-                     len(self.view.open))
-        self.loaded = True
-        self._sync_ready()
-        self._check_holders()
-        return True
-
     def _sync_ready(self) -> None:
         self.users.types = self.types
-        self.users.ready = self.loaded and bool(self.types)
+        self.users.ready = self.follower.loaded and bool(self.types)
 
-    async def _follow(self) -> None:
-        if not self.loaded:
-            if not await self._load():
-                await asyncio.sleep(random.uniform(0.2, 0.4))
-                return
-        pause = self.settings.tuning.leading.follow_ms / 1000
-        changes = await self.store.changes(self.view.revision, 10_000)
-        if isinstance(changes, int):
-            if changes == 410:
-                await self._load()
-            else:
-                await asyncio.sleep(random.uniform(0.15, 0.4))
-            return
-        self._apply_changes(changes)
-        await asyncio.sleep(pause)
-        while (rest_us := self._refreshed_us + us(pause) - now_us()) > 0:
-            # What users ask keeps the view up to date already: no need to read the changes twice.
-            await asyncio.sleep(rest_us / US)
+    def _holders_changed(self) -> None:
+        self._sync_ready()
+        self.holding.check()
 
-    def _apply_changes(self, changes: wire.Changes) -> None:
-        touched = False
-        for event in changes.events:
-            if event.put is not None:
-                touched |= self._put(event.put, event.version, bytes(event.value))
-            elif event.delete is not None and self.view.delete(event.delete, event.version):
-                touched = True
-                self._changed(event.delete)
-        self.view.revision = max(self.view.revision, changes.revision)
-        if touched:
-            self._check_holders()
+    def _new_owner(self, part: int, stamp: int) -> Owner:
+        return Owner(part, stamp, self.view, self.types, self._owner_config(), now_us(), wall_us())
 
-    def _put(self, key: str, stamp: int, raw: bytes) -> bool:
-        known = self.view.stamp(key) > 0
-        if self.view.put(key, stamp, raw, now_us()):
-            self._changed(key, known)
-            return True
-        return False
+    def _new_chief(self, stamp: int) -> Chief:
+        return Chief(self.settings, self.view, self.types, self.store, self.cloud, stamp, now_us, wall_us,
+                     self.follower.applied, self.follower.fresh)
 
-    def applied(self, key: str, stamp: int, value: object) -> None:
-        """A change of our own is committed: no need to wait until it comes back."""
-        self._put(key, stamp, msgspec.json.encode(value))
+    def _gained(self) -> None:
+        self.dirty.set()
+        self.route_due.set()
 
     def _changed(self, key: str, known: bool = False) -> None:
         """``known``: the key was there before, and only its value is new."""
@@ -219,135 +159,9 @@
                 owner.walk_due |= rest.rpartition("/")[2] in owner.machines
         if kind == "d" or any(owner.walk_due for owner in self.owners.values()):
             self.dirty.set()
-        if self.chief is not None:
+        if self.holding.chief is not None:
             self.route_due.set()
 
-    def _check_holders(self) -> None:
-        """Give up at once what somebody else holds, or what our lease no longer holds."""
-        for part, owner in list(self.owners.items()):
-            holder = self.view.parts.get(part)
-            if holder is None or holder.stamp != owner.token:
-                log.info("part %d is no longer ours", part)
-                del self.owners[part]
-        if self.chief is not None:
-            lead = self.view.leader
-            if lead is None or lead.stamp != self.chief.stamp:
-                log.info("the lead is no longer ours")
-                self.chief = None
-        for part in range(self.settings.parts):
-            if part in self.view.parts:
-                self.part_gone.pop(part, None)
-            else:
-                self.part_gone.setdefault(part, now_us())
-
-    async def fresh(self) -> bool:
-        """Wait for a view read after this call. All calls that wait at the moment share one read."""
-        if self._refresh is None:
-            self._refresh = asyncio.get_running_loop().create_future()
-            if not self._refreshing:
-                asyncio.ensure_future(self._refresh_loop())
-        return await self._refresh
-
-    async def _refresh_loop(self) -> None:
-        self._refreshing = True
-        try:
-            while self._refresh is not None:
-                waiting, self._refresh = self._refresh, None
-                ok = False
-                try:
-                    changes = await self.store.changes(self.view.revision, 0, urgency=0)
-                    if isinstance(changes, int):
-                        ok = changes == 410 and await self._load()
-                    else:
-                        self._apply_changes(changes)
-                        self._refreshed_us = now_us()
-                        ok = True
-                except Exception:
-                    log.exception("refresh failed")
-                if not waiting.done():
-                    waiting.set_result(ok)
-                await asyncio.sleep(self.settings.tuning.leading.refresh_ms / 1000)
-        finally:
-            self._refreshing = False
-
-    # -- leases, parts and the lead --------------------------------------------------------------
-
-    async def _keep_lease(self) -> None:
-        ttl_s = self.settings.tuning.leading.lease_s
-        if self.lease is None:
-            self.lease = await self.store.grant(int(ttl_s * 1000))
-            if self.lease is None:
-                await asyncio.sleep(random.uniform(0.2, 0.5))
-                return
-        await asyncio.sleep(ttl_s / 4)
-        if self.lease is None:
-            return
-        if await self.store.renew(self.lease) is False:
-            log.info("our lease is over")
-            self._lost_lease()
-
-    def _lost_lease(self) -> None:
-        self.lease = None
-        self.owners.clear()
-        self.chief = None
-
-    async def _claim_loop(self) -> None:
-        await asyncio.sleep(0.2)
-        if not self.loaded or not self.types or self.lease is None or self.store.refused_since is not None:
-            return
-        home = self.settings.home
-        holder = self.view.parts.get(home)
-        if home not in self.owners and (holder is None or holder.stamp != 0):
-            await self._claim(f"part/{home}")
-        if self.chief is None:
-            lead = self.view.leader
-            if lead is None or lead.node == self.node:
-                if lead is None and home:
-                    await asyncio.sleep(0.3 * home)
-                if self.view.leader is lead:
-                    await self._claim("leader")
-        patience = us(self.settings.tuning.leading.takeover_s)
-        for part, since in list(self.part_gone.items()):
-            # The owner of the least loaded live node would be fairest; the first to see it will do.
-            if part != home and now_us() - since > patience + 300_000 * ((home - part) % self.settings.parts):
-                await self._claim(f"part/{part}")
-
-    async def _claim(self, key: str) -> None:
-        if self.lease is None:
-            return
-        lease = self.lease
-        outcome = await self.store.txn(
-            {key: self.view.stamp(key)}, {key: (HolderRec(self.node), lease)}, urgency=0
-        )
-        if outcome.state == NO_LEASE:
-            self._lost_lease()
-            return
-        if outcome.state == CONFLICT:
-            await self.fresh()
-            return
-        if outcome.state != COMMITTED:
-            return
-        # Everything committed before our stamp must be known before we act on it.
-        while self.view.revision < outcome.revision:
-            if not await self.fresh():
-                await asyncio.sleep(0.1)
-                if self.lease != lease:
-                    return
-        if self.view.stamp(key) != outcome.revision or self.lease != lease:
-            return
-        if key == "leader":
-            self.chief = Chief(self.settings, self.view, self.types, self.store, self.cloud,
-                               outcome.revision, now_us, wall_us, self.applied, self.fresh)
-            self.route_due.set()
-            log.info("leading since %d", outcome.revision)
-        else:
-            part = int(key.partition("/")[2])
-            owner = Owner(part, outcome.revision, self.view, self.types, self._owner_config(),
-                          now_us(), wall_us())
-            self.owners[part] = owner
-            log.info("owning part %d with token %d: %d machines", part, owner.token, len(owner.machines))
-        self.dirty.set()
-
     def _owner_config(self) -> OwnerConfig:
         s = self.settings
         tuning = s.tuning
@@ -380,6 +194,8 @@
         except TimeoutError:
             pass
         self.dirty.clear()
+        if not self.holding.awake():
+            return
         begun = now_us()
         for owner in list(self.owners.values()):
             self._perform(owner, owner.step(now_us(), wall_us()))
@@ -431,7 +247,7 @@
                         log.debug("placed %s try %d on %s, image %s %s", a.name, a.number, a.machine,
                                   a.spec.image, a.spec.cls)
                     for key, (value, _) in batch.puts.items():
-                        self.applied(key, outcome.revision, value)
+                        self.follower.applied(key, outcome.revision, value)
                     for key in batch.deletes:
                         if self.view.delete(key, outcome.revision):
                             self._changed(key)
@@ -443,7 +259,7 @@
                 else:
                     log.info("part %d: commit %s %s", owner.part, outcome.state, outcome.failed[:4])
                     # What stands in the way, or whether it was applied after all, only a new view tells.
-                    while not await self.fresh():
+                    while not await self.follower.fresh():
                         await asyncio.sleep(random.uniform(0.1, 0.3))
                         if self.owners.get(owner.part) is not owner:
                             return
@@ -460,8 +276,8 @@
         except TimeoutError:
             pass
         self.route_due.clear()
-        chief = self.chief
-        if chief is None or self.store.refused_since is not None:
+        chief = self.holding.chief
+        if chief is None or self.store.refused_since is not None or not self.holding.awake():
             await asyncio.sleep(0.1)
             return
         begun = now_us()
@@ -472,8 +288,8 @@
 
     async def _fleet_loop(self) -> None:
         await asyncio.sleep(0.4)
-        chief = self.chief
-        if chief is not None and self.store.refused_since is None:
+        chief = self.holding.chief
+        if chief is not None and self.store.refused_since is None and self.holding.awake():
             await chief.tend_fleet()
 
     async def _types_loop(self) -> None:
@@ -482,11 +298,3 @@
             self.types.update(types)
             self._sync_ready()
         await asyncio.sleep(30 if types else random.uniform(0.5, 1.0))
-
-    async def _alone_loop(self) -> None:
-        await asyncio.sleep(1.0)
-        since = self.store.refused_since
-        refused = since is not None and now_us() - since > 1.5 * US
-        self.alone = refused and bool(self.mesh.peers) and await self.mesh.any_served()
-
-
--- /dev/null
+++ b/pearstep/core/reach.py
@@ -0,0 +1,104 @@
+"""How this node stands: which neighbours it reaches, beside what its peers reach, and whether it has just
+stood still. One state machine for all of it; it decides whether the node may hold parts and the lead, and
+whether it may judge what is silent.
+
+A neighbour that nobody reaches is an outage: everyone goes on. A neighbour that this node alone does not
+reach is its own trouble: it gives up what it holds, and claims nothing until it reaches it again.
+"""
+
+from __future__ import annotations
+
+from .model import US
+from .states import Table
+
+STATE, WORKERS, CLOUD = "state", "workers", "cloud"
+
+WHOLE = "whole"  # serves, holds and judges
+WOKEN = "woken"  # stood still: judges and commands nothing until its lease is renewed and its view read
+LACKING = "lacking"  # lacks a neighbour that its peers reach: holds nothing
+
+STANDING = Table(
+    "standing", {WHOLE: (WOKEN, LACKING), WOKEN: (WHOLE, LACKING), LACKING: (WHOLE, WOKEN)}
+)
+
+# How long peers' word counts, and how long they must have said the same: after an outage for all, one of
+# them is served a moment before the others.
+WORD_US = 4 * US
+AGREED_US = 2 * US
+# The longest pause before a node that was cut off claims again.
+LONGEST_REST_US = 60 * US
+
+
+class Reach:
+    """``update`` and ``woke`` are the only places where the state changes, through one table."""
+
+    def __init__(self, patience_us: dict[str, int], rest_us: int) -> None:
+        self.patience_us = patience_us
+        self.rest_us = rest_us
+        self.state = WHOLE
+        self.failing: dict[str, int] = {}
+        self.word: dict[str, tuple[int, int]] = {}
+        self.lacks: tuple[str, ...] = ()
+        self.settled = True
+        self.ready_us = 0
+        self._pause_us = rest_us
+        self._left_us = 0
+
+    def note(self, neighbour: str, ok: bool, now_us: int) -> None:
+        """What this node sees of a neighbour itself."""
+        if ok:
+            self.failing.pop(neighbour, None)
+        else:
+            self.failing.setdefault(neighbour, now_us)
+
+    def suspects(self, now_us: int) -> list[str]:
+        """The neighbours that have failed for long enough to ask the peers about them."""
+        return [n for n, since in self.failing.items() if now_us - since >= self.patience_us[n]]
+
+    def heard(self, neighbour: str, reached: bool, now_us: int) -> None:
+        """What the peers say: whether one of them reaches it."""
+        if reached:
+            since, last = self.word.get(neighbour, (now_us, now_us))
+            self.word[neighbour] = (since if now_us - last <= WORD_US else now_us, now_us)
+        else:
+            self.word.pop(neighbour, None)
+
+    def woke(self, now_us: int) -> None:
+        """The process stood still. What its peers said before is old."""
+        self.word.clear()
+        self.settled = False
+        self.update(now_us)
+
+    def settle(self, now_us: int) -> None:
+        """After standing still: the lease is renewed, or known to be over, and the view is read anew."""
+        self.settled = True
+        self.update(now_us)
+
+    def update(self, now_us: int) -> str:
+        """Follow the evidence."""
+        # Once it holds nothing, the peers need not be asked again: it waits until it reaches the
+        # neighbour itself. Seen from outside, a node without workers cannot know more.
+        lacks = [n for n in self.suspects(now_us) if n in self.lacks or self._agreed(n, now_us)]
+        before = self.state
+        self.lacks = tuple(sorted(lacks))
+        STANDING.move(self, LACKING if lacks else WHOLE if self.settled else WOKEN)
+        if before == LACKING and self.state != LACKING:
+            # A way back that fails again soon is tried more rarely: what is handed over costs something.
+            if now_us - self._left_us > 4 * LONGEST_REST_US:
+                self._pause_us = self.rest_us
+            self.ready_us = now_us + self._pause_us
+            self._pause_us = min(2 * self._pause_us, LONGEST_REST_US)
+            self._left_us = now_us
+        return self.state
+
+    def _agreed(self, neighbour: str, now_us: int) -> bool:
+        since, last = self.word.get(neighbour, (0, -(1 << 60)))
+        return now_us - last <= WORD_US and last - since >= AGREED_US
+
+    def may_judge(self) -> bool:
+        """Whether silence means anything, and what the view says may be acted on."""
+        return self.state != WOKEN
+
+    def may_claim(self, now_us: int) -> bool:
+        """Whether the node may take parts and the lead."""
+        return self.state == WHOLE and now_us >= self.ready_us
--- /dev/null
+++ b/pearstep/following.py
@@ -0,0 +1,135 @@
+"""Follows the state service: this node's replica of all records, and reads for those who must not be told
+anything older than their question."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from . import wire
+from .clocks import now_us
+from .core.model import US
+from .core.view import View
+from .settings import Leading
+from .store import Store
+
+log = logging.getLogger("pearstep")
+
+
+class Follower:
+    """Keeps the view up to date. ``on_change`` is told of each key that changed, and whether it was known
+    before; ``on_holders`` that holders of parts may have changed."""
+
+    def __init__(
+        self, store: Store, view: View, leading: Leading, on_change: Callable[[str, bool], None],
+        on_holders: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.store = store
+        self.view = view
+        self.loaded = False
+        self._pause_s = leading.follow_ms / 1000
+        self._refresh_s = leading.refresh_ms / 1000
+        self._on_change = on_change
+        self._on_holders = on_holders
+        self._refresh: asyncio.Future[bool] | None = None
+        self._refreshing = False
+        self._refreshed_us = 0
+
+    async def load(self) -> bool:
+        """Read everything anew."""
+        listing = await self.store.list_all()
+        if listing is None:
+            return False
+        pairs, revision = listing
+        listed = set()
+        for pair in pairs:
+            listed.add(pair.key)
+            self._put(pair.key, pair.version, bytes(pair.value))
+        for key in [k for k in self.view.stamps if k not in listed]:
+            if self.view.stamps[key] <= revision:
+                self.view.delete(key, revision + 1)
+        self.view.revision = max(self.view.revision, revision)
+        if not self.loaded:
+            log.info("loaded %d keys at revision %d, %d open jobs", len(pairs), revision,
+                     len(self.view.open))
+        self.loaded = True
+        self._on_holders()
+        return True
+
+    async def follow(self) -> None:
+        """One round: wait for changes and take them in."""
+        if not self.loaded:
+            if not await self.load():
+                await asyncio.sleep(random.uniform(0.2, 0.4))
+                return
+        pause = self._pause_s
+        changes = await self.store.changes(self.view.revision, 10_000)
+        if isinstance(changes, int):
+            if changes == 410:
+                await self.load()
+            else:
+                await asyncio.sleep(random.uniform(0.15, 0.4))
+            return
+        self.apply_changes(changes)
+        await asyncio.sleep(pause)
+        while (rest_us := self._refreshed_us + int(pause * US) - now_us()) > 0:
+            # What users ask keeps the view up to date already: no need to read the changes twice.
+            await asyncio.sleep(rest_us / US)
+
+    def apply_changes(self, changes: wire.Changes) -> None:
+        """Take in what has changed."""
+        touched = False
+        for event in changes.events:
+            if event.put is not None:
+                touched |= self._put(event.put, event.version, bytes(event.value))
+            elif event.delete is not None and self.view.delete(event.delete, event.version):
+                touched = True
+                self._on_change(event.delete, False)
+        self.view.revision = max(self.view.revision, changes.revision)
+        if touched:
+            self._on_holders()
+
+    def _put(self, key: str, stamp: int, raw: bytes) -> bool:
+        known = self.view.stamp(key) > 0
+        if self.view.put(key, stamp, raw, now_us()):
+            self._on_change(key, known)
+            return True
+        return False
+
+    def applied(self, key: str, stamp: int, value: object) -> None:
+        """A change of our own is committed: no need to wait until it comes back."""
+        self._put(key, stamp, msgspec.json.encode(value))
+
+    async def fresh(self) -> bool:
+        """Wait for a view read after this call. All calls that wait at the moment share one read."""
+        if self._refresh is None:
+            self._refresh = asyncio.get_running_loop().create_future()
+            if not self._refreshing:
+                asyncio.ensure_future(self._refresh_loop())
+        return await self._refresh
+
+    async def _refresh_loop(self) -> None:
+        self._refreshing = True
+        try:
+            while self._refresh is not None:
+                waiting, self._refresh = self._refresh, None
+                ok = False
+                try:
+                    changes = await self.store.changes(self.view.revision, 0, urgency=0)
+                    if isinstance(changes, int):
+                        ok = changes == 410 and await self.load()
+                    else:
+                        self.apply_changes(changes)
+                        self._refreshed_us = now_us()
+                        ok = True
+                except Exception:
+                    log.exception("refresh failed")
+                if not waiting.done():
+                    waiting.set_result(ok)
+                await asyncio.sleep(self._refresh_s)
+        finally:
+            self._refreshing = False
--- /dev/null
+++ b/pearstep/holding.py
@@ -0,0 +1,211 @@
+"""What this node holds: its state lease, parts, and the lead; when it claims and when it gives up."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from .budget import URGENT
+from .chief import Chief
+from .clocks import now_us
+from .core.model import MachineType
+from .core.owner import Owner
+from .core.reach import LACKING, STATE, WOKEN
+from .core.records import HolderRec
+from .core.view import View
+from .following import Follower
+from .settings import Settings, us
+from .store import COMMITTED, CONFLICT, NO_LEASE, Store
+from .watch import TICK_US, US, Watch
+
+log = logging.getLogger("pearstep")
+
+
+class Holding:
+    """The parts and the lead while they are ours; ``owners`` is shared with those who act on them."""
+
+    def __init__(
+        self, settings: Settings, store: Store, view: View, types: dict[str, MachineType],
+        owners: dict[int, Owner], follower: Follower, watch: Watch,
+        new_owner: Callable[[int, int], Owner], new_chief: Callable[[int], Chief],
+        on_gain: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.node = settings.node
+        self.store = store
+        self.view = view
+        self.types = types
+        self.owners = owners
+        self.follower = follower
+        self.watch = watch
+        self.reach = watch.reach
+        self.chief: Chief | None = None
+        self.lease: int | None = None
+        self.part_gone: dict[int, int] = {}
+        self._settling = False
+        self._new_owner = new_owner
+        self._new_chief = new_chief
+        self._on_gain = on_gain
+
+    def check(self) -> None:
+        """Give up at once what somebody else holds, or what our lease no longer holds."""
+        for part, owner in list(self.owners.items()):
+            holder = self.view.parts.get(part)
+            if holder is None or holder.stamp != owner.token:
+                log.info("part %d is no longer ours", part)
+                del self.owners[part]
+        if self.chief is not None:
+            lead = self.view.leader
+            if lead is None or lead.stamp != self.chief.stamp:
+                log.info("the lead is no longer ours")
+                self.chief = None
+        for part in range(self.settings.parts):
+            holder = self.view.parts.get(part)
+            if holder is not None and holder.node:
+                self.part_gone.pop(part, None)
+            else:
+                self.part_gone.setdefault(part, now_us())
+
+    def awake(self) -> bool:
+        """Whether what is known may be acted on. Whatever runs first after the process stood still finds
+        it out here."""
+        if self.watch.stood_still() and not self._settling:
+            self._settling = True
+            asyncio.ensure_future(self._settle())
+        return self.reach.may_judge()
+
+    async def _settle(self) -> None:
+        """After standing still: is the lease ours yet, and what has happened meanwhile?"""
+        try:
+            while self.reach.state == WOKEN:
+                renewed = await self.store.renew(self.lease) if self.lease is not None else False
+                if renewed is False:
+                    self._lost_lease()
+                if renewed is not None and await self.follower.fresh():
+                    break
+                if self.store.refused_since is not None and now_us() - self.store.refused_since > US:
+                    # Nobody can tell. In an outage for all the parts are still ours and their workers
+                    # need us; if we alone are refused, the peers will say so.
+                    break
+                await asyncio.sleep(random.uniform(0.1, 0.3))
+            self.reach.settle(now_us())
+        finally:
+            self._settling = False
+
+    async def tick(self) -> None:
+        """The loop by which a gap is noticed if nothing else runs."""
+        self.awake()
+        await asyncio.sleep(TICK_US / US)
+
+    async def look(self) -> None:
+        """One look at how the node stands, and what follows from it."""
+        await asyncio.sleep(0.5)
+        before = self.reach.state
+        self.watch.loaded = self.follower.loaded
+        await self.watch.look()
+        if self.reach.state != before:
+            log.info("%s %s", self.reach.state, ", ".join(self.reach.lacks))
+        if self.reach.state == LACKING and (self.owners or self.chief):
+            await self._give_up()
+
+    async def _give_up(self) -> None:
+        """A peer reaches what we do not: it shall have what we hold. First we stop answering for it, then
+        we say so, if we can."""
+        puts: dict[str, tuple[Any, int | None]] = {}
+        conditions: dict[str, int] = {}
+        for part, owner in self.owners.items():
+            puts[f"part/{part}"] = (HolderRec(""), None)
+            conditions[f"part/{part}"] = owner.token
+        log.info("giving up %s", ", ".join(puts) or "the lead")
+        gone = []
+        if self.chief is not None:
+            gone.append("leader")
+            conditions["leader"] = self.chief.stamp
+        self.owners.clear()
+        self.chief = None
+        if STATE not in self.reach.lacks:
+            await self.store.txn(conditions, puts, gone, urgency=URGENT)
+            await self.follower.fresh()
+
+    async def keep_lease(self) -> None:
+        """One round of getting or renewing our state lease."""
+        ttl_s = self.settings.tuning.leading.lease_s
+        if self.lease is None:
+            self.lease = await self.store.grant(int(ttl_s * 1000))
+            if self.lease is None:
+                await asyncio.sleep(random.uniform(0.2, 0.5))
+                return
+        await asyncio.sleep(ttl_s / 4)
+        if self.lease is None:
+            return
+        if await self.store.renew(self.lease) is False:
+            log.info("our lease is over")
+            self._lost_lease()
+
+    def _lost_lease(self) -> None:
+        self.lease = None
+        self.owners.clear()
+        self.chief = None
+
+    async def claim(self) -> None:
+        """One round of claiming: the home part, a lead that nobody has, parts of the dead."""
+        await asyncio.sleep(0.2)
+        if not self.follower.loaded or not self.types or self.lease is None:
+            return
+        if self.store.refused_since is not None:
+            return
+        if not self.awake() or not self.reach.may_claim(now_us()):
+            return
+        home = self.settings.home
+        holder = self.view.parts.get(home)
+        if home not in self.owners and (holder is None or holder.stamp != 0):
+            await self._claim(f"part/{home}")
+        if self.chief is None:
+            lead = self.view.leader
+            if lead is None or lead.node == self.node:
+                if lead is None and home:
+                    await asyncio.sleep(0.3 * home)
+                if self.view.leader is lead:
+                    await self._claim("leader")
+        for part, since in list(self.part_gone.items()):
+            # The owner of the least loaded live node would be fairest; the first to see it will do. A node
+            # that gives a part up lives: nothing is waited for then.
+            patience = 0 if part in self.view.parts else us(self.settings.tuning.leading.takeover_s)
+            if part != home and now_us() - since > patience + 300_000 * ((home - part) % self.settings.parts):
+                await self._claim(f"part/{part}")
+
+    async def _claim(self, key: str) -> None:
+        if self.lease is None:
+            return
+        lease = self.lease
+        outcome = await self.store.txn(
+            {key: self.view.stamp(key)}, {key: (HolderRec(self.node), lease)}, urgency=0
+        )
+        if outcome.state == NO_LEASE:
+            self._lost_lease()
+            return
+        if outcome.state == CONFLICT:
+            await self.follower.fresh()
+            return
+        if outcome.state != COMMITTED:
+            return
+        # Everything committed before our stamp must be known before we act on it.
+        while self.view.revision < outcome.revision:
+            if not await self.follower.fresh():
+                await asyncio.sleep(0.1)
+                if self.lease != lease:
+                    return
+        if self.view.stamp(key) != outcome.revision or self.lease != lease:
+            return
+        if key == "leader":
+            self.chief = self._new_chief(outcome.revision)
+            log.info("leading since %d", outcome.revision)
+        else:
+            part = int(key.partition("/")[2])
+            owner = self._new_owner(part, outcome.revision)
+            self.owners[part] = owner
+            log.info("owning part %d with token %d: %d machines", part, owner.token, len(owner.machines))
+        self._on_gain()
--- a/pearstep/mesh.py
+++ b/pearstep/mesh.py
@@ -1,10 +1,10 @@
-"""The other nodes. They exchange one thing: whether the state service answers them. A node that alone
-is refused takes itself out of the users' way; in an outage for all, nobody does."""
+"""The other nodes. They tell each other what they reach: the state service, the cloud, and the workers of
+each part, as far as these have knocked at the wrong door. A node asks only while it misses something."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from tornado.httputil import HTTPServerRequest
@@ -14,20 +14,23 @@
 
 
 class Status(msgspec.Struct):
-    """What a node says of itself."""
+    """What a node says of itself. ``knocks``: machines by part that came to it although another node owns
+    the part, within the last few seconds."""
 
     node: str
     state_ok: bool
+    cloud_ok: bool = False
+    knocks: dict[int, int] = {}
 
 
 class Mesh:
     """Asks the peers, and answers them."""
 
-    def __init__(self, client: Client, node: str, peers: list[str], state_ok: Callable[[], bool]) -> None:
+    def __init__(self, client: Client, peers: list[str]) -> None:
         self.client = client
-        self.node = node
         self.peers = peers
-        self.state_ok = state_ok
+        # Set by whoever knows; with True it asks the cloud first.
+        self.status: Callable[[bool], Awaitable[Status]] | None = None
 
     async def handle(self, request: HTTPServerRequest) -> Answer:
         """Answer a peer."""
@@ -35,18 +38,21 @@
             return 404, wire.error_answer("no such path"), {}
         if request.method != "GET":
             return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
-        return 200, msgspec.json.encode(Status(self.node, self.state_ok())), {}
+        if self.status is None:
+            return 503, wire.error_answer("starting"), {}
+        return 200, msgspec.json.encode(await self.status("cloud" in request.arguments)), {}
 
-    async def any_served(self) -> bool:
-        """Whether some peer is served by the state service."""
+    async def ask(self, cloud: bool = False) -> list[Status]:
+        """What the peers that answer say; with ``cloud`` they ask the cloud first."""
+        path = wire.MESH_STATUS + ("?cloud=1" if cloud else "")
         answers = await asyncio.gather(
-            *(self.client.fetch(p, "GET", wire.MESH_STATUS, timeout_s=1.0) for p in self.peers)
+            *(self.client.fetch(p, "GET", path, timeout_s=3.0 if cloud else 1.0) for p in self.peers)
         )
+        out = []
         for status, body in answers:
             if status == 200:
                 try:
-                    if msgspec.json.decode(body, type=Status).state_ok:
-                        return True
+                    out.append(msgspec.json.decode(body, type=Status))
                 except msgspec.MsgspecError:
                     continue
-        return False
+        return out
--- a/pearstep/store.py
+++ b/pearstep/store.py
@@ -21,6 +21,8 @@
 _changes = msgspec.json.Decoder(wire.Changes)
 _granted = msgspec.json.Decoder(wire.Granted)
 
+# One lost answer is no outage.
+AWAY_US = 500_000
 COMMITTED, CONFLICT, REFUSED, UNKNOWN, NO_LEASE = "committed", "conflict", "refused", "unknown", "no lease"
 
 
@@ -103,6 +105,10 @@
             return Outcome(REFUSED)
         return Outcome(UNKNOWN)
 
+    def away(self) -> bool:
+        """Whether it has not served us for a while: whoever asks now is told so at once."""
+        return self.refused_since is not None and self._now_us() - self.refused_since > AWAY_US
+
     async def may_write(self) -> None:
         """Wait until something may be written. Whoever gathers its writes only then gathers more of them
         the scarcer the budget is."""
@@ -148,7 +154,9 @@
     async def changes(self, after: int, wait_ms: int, urgency: int = IDLE) -> wire.Changes | int:
         """The changes after a revision, or the status if there are none to be had."""
         status, data = await self._ask(
-            "GET", wire.changes_query(after, wait_ms), timeout_s=wait_ms / 1000 + 3, urgency=urgency
+            "GET", wire.changes_query(after, wait_ms), urgency=urgency,
+            # Users wait 2 s for an answer: a read for them that takes longer helps nobody.
+            timeout_s=wait_ms / 1000 + 3 if wait_ms else 1.5,
         )
         if status != 200:
             return status
--- a/pearstep/users.py
+++ b/pearstep/users.py
@@ -100,7 +100,9 @@
         job = self.view.jobs.get(ref)
         if job is not None and job.final:
             return job
-        if not self.ready or not await self._fresh():
+        # Seen with a state service that was silent to one node: polls waited for reads that could not
+        # end well, until their users gave up on them.
+        if not self.ready or self.store.away() or not await self._fresh():
             return False
         return self.view.jobs.get(ref)
 
@@ -143,6 +145,8 @@
                 return self.away("state not known now")
             return why[0], wire.error_answer(why[1]), {}
         assert spec is not None
+        if self.store.away():
+            return self.away("state service is away")
         verdict = await self._accept(spec)
         if verdict == COMMITTED:
             log.debug("accepted %s %s tasks %d priority %d", ref, spec.cls, spec.tasks, spec.priority)
--- a/pearstep/workers.py
+++ b/pearstep/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 from tornado.httputil import HTTPServerRequest
@@ -47,6 +48,10 @@
         self.now_us = now_us
         self.wall_us = wall_us
         self.kick = kick
+        self.awake: Callable[[], bool] = lambda: True
+        # Machines that came here although another node owns their part: what tells an owner that it is
+        # cut off from its workers, and not they from everyone.
+        self.knocks: dict[str, tuple[int, int]] = {}
 
     def report(self, request: HTTPServerRequest) -> Answer:
         """Answer a worker's report."""
@@ -59,9 +64,13 @@
             return 400, wire.error_answer(str(err)), {}
         part = part_of(report.machine, self.parts)
         owner = self.owners.get(part)
+        if not self.awake():
+            # What was read before we stood still may be over: the worker asks another node meanwhile.
+            return 503, wire.error_answer("not certain what is owned here"), {"Retry-After": "1"}
         if owner is None or report.token > owner.token:
+            self.knocks[report.machine] = (part, self.now_us())
             holder = self.view.parts.get(part)
-            if holder is None or holder.node == self.node:
+            if holder is None or holder.node in ("", self.node):
                 return 503, wire.error_answer("nobody owns the part now"), {"Retry-After": "1"}
             return 421, wire.elsewhere(holder.node), {}
         now = self.now_us()
@@ -78,6 +87,19 @@
             self.kick()
         return 200, wire.orders_body(owner.token, orders), {}
 
+    def knocked(self, within_us: int) -> dict[int, int]:
+        """How many machines of each part have come to the wrong door of late."""
+        now = self.now_us()
+        self.knocks = {name: k for name, k in self.knocks.items() if now - k[1] <= within_us}
+        return dict(Counter(part for part, _ in self.knocks.values()))
+
+    async def reached(self, addrs: list[str]) -> bool:
+        """Whether most of these workers answer us."""
+        answers = await asyncio.gather(
+            *(self.client.fetch(addr, "GET", wire.INSPECT, timeout_s=2.0) for addr in addrs)
+        )
+        return 2 * sum(status == 200 for status, _ in answers) > len(addrs)
+
     def perform(self, owner: Owner, actions: Actions) -> None:
         """Send direct commands, each machine on its own."""
         for name, orders in actions.sends.items():
@@ -103,7 +125,7 @@
         if machine.session == session:
             owner.directs_answered(machine, orders)
         if report.token <= owner.token:
-            owner.on_report(seen(report), self.now_us(), self.wall_us())
+            owner.on_report(seen(report), self.now_us(), self.wall_us(), direct=True)
             self.kick()
             if status == 409 and not orders and report.session != session:
                 machine.probe_us = 0
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,96 @@
+"""How a node stands: the state machine of gaps and of neighbours that it alone does not reach."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearstep.core.model import US
+from pearstep.core.reach import CLOUD, LACKING, STATE, WHOLE, WOKEN, WORKERS, Reach
+
+NEIGHBOURS = (STATE, WORKERS, CLOUD)
+
+
+def reach():
+    return Reach({STATE: 6 * US, WORKERS: 0, CLOUD: 3 * US}, 12 * US)
+
+
+def follow(r, neighbour, begin_s, end_s, peers_reach):
+    """Half-second looks while the neighbour does not answer us."""
+    for half in range(int(begin_s * 2), int(end_s * 2)):
+        now = half * US // 2
+        r.note(neighbour, False, now)
+        if neighbour in r.suspects(now):
+            r.heard(neighbour, peers_reach(now), now)
+        r.update(now)
+    return r.state
+
+
+def test_neighbour_that_nobody_reaches_is_an_outage_and_everyone_goes_on():
+    for neighbour in NEIGHBOURS:
+        assert follow(reach(), neighbour, 10, 100, lambda now: False) == WHOLE
+
+
+def test_neighbour_that_peers_reach_is_our_trouble_after_patience_and_agreement():
+    r = reach()
+    assert follow(r, STATE, 10, 17, lambda now: True) == WHOLE
+    assert follow(r, STATE, 17, 20, lambda now: True) == LACKING
+    assert not r.may_claim(20 * US)
+
+
+def test_peer_served_a_moment_earlier_at_the_end_of_an_outage_is_no_reason_to_give_up():
+    r = reach()
+    follow(r, STATE, 10, 40, lambda now: now > 38.4 * US)
+    assert r.state == WHOLE
+    r.note(STATE, True, 40 * US)
+    assert r.update(40 * US) == WHOLE and r.may_claim(40 * US)
+
+
+def test_way_back_that_fails_again_is_tried_more_rarely():
+    r = reach()
+    pauses = []
+    for begin in (10, 60, 130):
+        assert follow(r, WORKERS, begin, begin + 5, lambda now: True) == LACKING
+        back = (begin + 5) * US
+        r.note(WORKERS, True, back)
+        r.update(back)
+        pauses.append((r.ready_us - back) // US)
+        assert not r.may_claim(back) and r.may_claim(r.ready_us)
+    assert pauses == [12, 24, 48]
+
+
+events = st.lists(
+    st.one_of(
+        st.tuples(st.just("note"), st.sampled_from(NEIGHBOURS), st.booleans()),
+        st.tuples(st.just("heard"), st.sampled_from(NEIGHBOURS), st.booleans()),
+        st.tuples(st.just("woke"), st.none(), st.none()),
+        st.tuples(st.just("settle"), st.none(), st.none()),
+        st.tuples(st.just("wait"), st.integers(1, 20 * US), st.none()),
+    ),
+    max_size=60,
+)
+
+
+@given(events)
+def test_whatever_happens_a_node_claims_nothing_while_in_doubt_and_judges_nothing_before_it_settles(steps):
+    r, now, doubtful = reach(), 100 * US, False
+    for kind, what, ok in steps:
+        if kind == "note":
+            r.note(what, ok, now)
+        elif kind == "heard":
+            r.heard(what, ok, now)
+        elif kind == "woke":
+            r.woke(now)
+            doubtful = True
+        elif kind == "settle":
+            r.settle(now)
+            doubtful = False
+        else:
+            now += what
+            r.update(now)
+        state = r.update(now)
+        assert (state == WOKEN) <= doubtful
+        if doubtful:
+            assert not r.may_claim(now) and (state == LACKING or not r.may_judge())
+        if state == LACKING:
+            assert not r.may_claim(now) and set(r.lacks) <= set(r.failing)
+        if not r.failing and not doubtful:
+            assert state == WHOLE
