Small jobs are routed when accepted; what was not written for longest goes first

A job of one task whose team has no limit is routed by the node that accepts it; owners write gangs first, then the records that were not written for longest. Ruled out: processor time (0.07 of a core), memory (28 MB).

--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -71,6 +71,7 @@
             self.store, self.view, settings.teams, self.follower.fresh, self.follower.applied, wall_us,
             settings.tuning.guarding.retry_after_s, settings.txn_ops,
         )  # fmt: skip
+        self.users.home = settings.home
         self.workers = Workers(
             client, self.view, self.owners, self.node, settings.parts, now_us, wall_us, self.dirty.set
         )
--- a/pearstep/core/commits.py
+++ b/pearstep/core/commits.py
@@ -23,9 +23,13 @@
         most = self.cfg.txn_ops
         ends: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]] | None = None
         needs = 0
-        for rec in self.recs.values():
-            if not rec.dirty or rec.inflight:
-                continue
+        # Gangs first: what waits for a start waits whole. Then what was not written for longest: seen with a
+        # vast array, whose record had something new each time, that hundreds of small jobs never came to
+        # their turn.
+        for rec in sorted(
+            (r for r in self.recs.values() if r.dirty and not r.inflight),
+            key=lambda r: (r.spec.kind != "gang", r.written_us),
+        ):  # fmt: skip
             # A record may bring its job's end along: both must fit. An array's end takes the place of its
             # last record.
             needs += 2 if rec.done and rec.spec.kind != "array" else 1
@@ -33,7 +37,7 @@
                 break
             if ends is None:
                 ends = self._pending()
-            if not self._gather_rec(rec, batch, 2 * most, ends):
+            if not self._gather_rec(rec, batch, 2 * most, ends, now_us):
                 break
         for rec in batch.recs:
             job = self.view.jobs[rec.spec.ref]
@@ -109,7 +113,7 @@
 
     def _gather_rec(
         self, rec: Rec, batch: Batch, most_conditions: int,
-        ends: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]],
+        ends: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]], now_us: int,
     ) -> bool:  # fmt: skip
         """Add a record; False if its conditions do not fit beside the others'."""
         job = self.view.jobs[rec.spec.ref]
@@ -142,6 +146,7 @@
         batch.ended.extend(ends.get((rec.spec.ref, rec.chunk), ()))
         rec.dirty = False
         rec.inflight = True
+        rec.written_us = now_us
         return True
 
     def committed(self, batch: Batch, revision: int, actions: Actions) -> None:
--- a/pearstep/core/rec.py
+++ b/pearstep/core/rec.py
@@ -12,7 +12,10 @@
 class Rec:
     """Working copy of the placements of one chunk of a job's tasks."""
 
-    __slots__ = ("spec", "chunk", "key", "attempts", "done", "last", "faults", "stamp", "dirty", "inflight")
+    __slots__ = (
+        "spec", "chunk", "key", "attempts", "done", "last", "faults", "stamp", "dirty", "inflight",
+        "written_us",
+    )  # fmt: skip
 
     def __init__(self, part: int, spec: Spec, chunk: int) -> None:
         self.spec = spec
@@ -25,6 +28,7 @@
         self.stamp = 0
         self.dirty = False
         self.inflight = False
+        self.written_us = 0
 
     def value(self) -> PlaceRec:
         """The record as it should be stored."""
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -1,7 +1,8 @@
 """What is stored in the state service, and under which keys.
 
 ``j/<ref>``               a job: its description and final state. Any node writes it, conditionally.
-``r/<part>/<ref>``        which tasks the leader has routed to a part; the leader writes it.
+``r/<part>/<ref>``        which tasks the leader has routed to a part; the leader writes it. A job that
+                          was accepted for a part is routed there as if by a route of revision 0.
 ``p/<part>/<ref>/<chunk>`` where those tasks are and which are done; the part's owner writes it.
 ``m/<part>/<machine>``    a machine that has reported; its part's owner writes it.
 ``d/<machine>``           the machine is to be emptied and deleted; the leader or its owner writes it.
@@ -21,12 +22,14 @@
 
 
 class JobRec(msgspec.Struct, omit_defaults=True):
-    """An accepted job."""
+    """An accepted job. ``part``: the part that it is routed to from the beginning, as long as no route
+    says otherwise; such a job needs no change for its route."""
 
     spec: Spec
     at_us: int
     state: str = QUEUED
     end_us: int = 0
+    part: int | None = None
 
 
 class RouteRec(msgspec.Struct, omit_defaults=True):
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -103,6 +103,11 @@
             job = self.jobs.get(path[0])
             if job is None:
                 job = self.jobs[path[0]] = Job(rec, stamp, now_us)
+                if rec.part is not None:
+                    # Any record of a route has a later revision than none and takes its place.
+                    route = RouteRec(f"0-{rec.spec.tasks - 1}")
+                    job.routes[rec.part] = Route(route, 0, rec.spec.all_tasks, {}, now_us)
+                    job.recount()
                 # While the keys are listed, a job's routes and placements may be read before it.
                 for late_key, late_stamp, late in self.orphans.pop(path[0], ()):
                     late_rec = decode(late_key, late or b"null")
--- a/pearstep/users.py
+++ b/pearstep/users.py
@@ -55,11 +55,21 @@
         self._fresh = fresh
         self._apply = apply
         self._wall_us = wall_us
+        self.home: int | None = None
         self._retry = {"Retry-After": str(retry_after_s)}
         self._most = txn_ops
         self._queue: list[tuple[Spec, asyncio.Future[str]]] = []
         self._flushes = 0
 
+    def part_for(self, spec: Spec) -> int | None:
+        """The part that may place the job at once, without the leader: a single task whose team has no
+        limit to be kept across parts. Seen: five small jobs a second, four changes each, against 20 a
+        second. If it finds no room there, the leader moves it like any other."""
+        team = self.teams[spec.team]
+        if spec.kind != "array" or spec.tasks > 1 or team.cpus_max or team.gpus_max:
+            return None
+        return self.home
+
     def away(self, why: str) -> Answer:
         """Cannot be decided now; come back."""
         return 503, wire.error_answer(why), self._retry
@@ -172,7 +182,9 @@
             while self._queue:
                 group, self._queue = self._queue[: self._most], self._queue[self._most :]
                 group = [(s, f) for s, f in group if not f.done()]
-                recs = {f"j/{s.ref}": JobRec(s, self._wall_us()) for s, _ in group}
+                recs = {
+                    f"j/{s.ref}": JobRec(s, self._wall_us(), part=self.part_for(s)) for s, _ in group
+                }
                 try:
                     outcome = await self.store.txn(
                         dict.fromkeys(recs, 0), {k: (v, None) for k, v in recs.items()}, urgency=URGENT
--- a/tests/test_faulty.py
+++ b/tests/test_faulty.py
@@ -135,3 +135,21 @@
     assert job.state == "done" and not job.run and "req-1" not in w.view.open and "m0" not in w.view.on
     assert ("forget", name, number, None) in w.report(m, (name, number, "exited", "done"))
     assert not w.take_over().recs.get(("req-1", 0)).attempts
+
+
+def test_small_jobs_come_to_their_turn_beside_a_record_that_always_has_something_new():
+    w = World(txn_ops=2)
+    w.machine("m0", mtype="big")
+    w.submit(spec("req-0", tasks=500, cpus=0.1, memory_gb=0.1))
+    for n in range(1, 6):
+        w.submit(spec(f"req-{n}", tasks=1, cpus=0.1, memory_gb=0.1))
+    w.step()
+    turns = set()
+    for _ in range(8):
+        w.later(1)
+        batch = w.owner.gather(w.now, w.now)
+        turns.update(rec.spec.ref for rec in batch.recs)
+        revision = w.ledger.txn(batch.conditions, {k: v for k, (v, _) in batch.puts.items()})
+        w.owner.committed(batch, revision, Actions())
+        w.owner.recs["req-0", 0].dirty = True
+    assert turns == {f"req-{n}" for n in range(6)}
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -69,6 +69,7 @@
 
     users = Users(store, view, {"t": Team("t", cpus_max=64.0)}, fresh, applied, lambda: 1, 1, 12)
     users.types = TYPES
+    users.home = 2
     users.ready = True
 
     async def handle(request):
@@ -105,6 +106,22 @@
     asyncio.run(scenario(steps))
 
 
+def test_single_task_of_a_team_without_limit_is_routed_when_it_is_accepted():
+    async def steps(ask, state, users):
+        users.teams["free"] = Team("free")
+        await ask("POST", wire.JOBS, {**JOB, "ref": "req-1", "holder": "free", "parcels": 1})
+        await ask("POST", wire.JOBS, {**JOB, "ref": "req-2", "holder": "free"})
+        await ask("POST", wire.JOBS, {**JOB, "ref": "req-3", "parcels": 1})
+        jobs = users.view.jobs
+        assert {ref: dict.fromkeys(j.routes, j.routed) for ref, j in jobs.items()} == {
+            "req-1": {2: 1}, "req-2": {}, "req-3": {}
+        }  # fmt: skip
+        users.view.put("r/2/req-1", 50, b'{"tasks":""}', 0)
+        assert not jobs["req-1"].routed and jobs["req-1"].routes[2].stamp == 50
+
+    asyncio.run(scenario(steps))
+
+
 def test_while_the_state_service_is_away_users_are_told_when_to_come_back():
     async def steps(ask, state, users):
         await ask("POST", wire.JOBS, JOB)
