--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -17,9 +17,9 @@
 from .clocks import now_us, wall_us
 from .cloud import Cloud
 from .core.model import US, MachineType
+from .core.orders import Actions, OwnerConfig
 from .core.owner import Owner
 from .core.reach import STATE
-from .core.talk import Actions, OwnerConfig
 from .core.view import View
 from .following import Follower
 from .holding import Holding
--- a/pearstep/core/commits.py
+++ b/pearstep/core/commits.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from .job import Job, Route
+from .orders import Actions, split_task
+from .placements import Batch, Placements
 from .placing import Placing
-from .rec import Batch, Rec
 from .records import CHUNK, DONE, QUEUED, JobRec, route_key
-from .talk import Actions, split_task
 from .task import ATTEMPT, ENDED, PLACED, PLACING, Attempt
 
 
@@ -94,7 +94,7 @@
             return False
         return all(zone == m.zone for zone, mask in route.zoned.items() if mask >> a.task & 1)
 
-    def _unplace(self, rec: Rec, a: Attempt) -> None:
+    def _unplace(self, rec: Placements, a: Attempt) -> None:
         """Forget a decision that was never written."""
         ATTEMPT.move(a, ENDED)
         rec.attempts.pop(a.task, None)
@@ -112,7 +112,7 @@
         return out
 
     def _gather_rec(
-        self, rec: Rec, batch: Batch, most_conditions: int,
+        self, rec: Placements, batch: Batch, most_conditions: int,
         ends: dict[tuple[str, int], list[tuple[str, tuple[str, int]]]], now_us: int,
     ) -> bool:  # fmt: skip
         """Add a record; False if its conditions do not fit beside the others'."""
--- a/pearstep/core/owner.py
+++ b/pearstep/core/owner.py
@@ -1,14 +1,14 @@
 """The owner of a part: it alone commands the part's machines, and records before it commands.
 
 Driven by reports, committed changes and time; it returns actions and never waits for anything. Its
-subjects build on each other: ``part``, ``reports``, ``lives``, ``placing``, ``commits``.
+subjects build on each other: ``part``, ``reports``, ``upkeep``, ``placing``, ``commits``.
 """
 
 from __future__ import annotations
 
 from .commits import Commits
 from .model import US
-from .talk import Actions
+from .orders import Actions
 
 
 class Owner(Commits):
--- a/pearstep/core/part.py
+++ b/pearstep/core/part.py
@@ -10,9 +10,9 @@
 from .gang import Gang
 from .machine import Machine
 from .model import US, MachineType, Spec
-from .rec import Rec
+from .orders import IMMEDIATE, Actions, OwnerConfig
+from .placements import Placements
 from .records import CHUNK, QUEUED, DrainRec
-from .talk import IMMEDIATE, Actions, OwnerConfig
 from .task import HEARD, PLACED, Attempt
 from .trouble import Troubles
 from .view import View
@@ -30,7 +30,7 @@
         self.view = view
         self.types = types
         self.cfg = cfg
-        self.recs: dict[tuple[str, int], Rec] = {}
+        self.recs: dict[tuple[str, int], Placements] = {}
         self.machines: dict[str, Machine] = {}
         self.backfill = Backfill(cfg.bounds_us)
         self.delay = AdaptiveDelay(cfg.initial_delay_us, cfg.batch, cfg.threshold)
@@ -56,19 +56,19 @@
                 if part == self.part:
                     self._reload(self._rec(job.spec, chunk), now_us, wall_us)
 
-    def _rec(self, spec: Spec, chunk: int) -> Rec:
+    def _rec(self, spec: Spec, chunk: int) -> Placements:
         rec = self.recs.get((spec.ref, chunk))
         if rec is None:
-            rec = self.recs[spec.ref, chunk] = Rec(self.part, spec, chunk)
+            rec = self.recs[spec.ref, chunk] = Placements(self.part, spec, chunk)
         return rec
 
-    def _recs_of(self, spec: Spec) -> list[Rec]:
+    def _recs_of(self, spec: Spec) -> list[Placements]:
         return [
             rec for chunk in range((spec.tasks - 1) // CHUNK + 1)
             if (rec := self.recs.get((spec.ref, chunk))) is not None
         ]  # fmt: skip
 
-    def _reload(self, rec: Rec, now_us: int, wall_us: int) -> None:
+    def _reload(self, rec: Placements, now_us: int, wall_us: int) -> None:
         """Go back to what is committed. Whatever was decided but not written is decided again."""
         before = list(rec.attempts.values())
         job = self.view.jobs[rec.spec.ref]
--- a/pearstep/core/rec.py
+++ b/pearstep/core/placements.py
@@ -9,7 +9,7 @@
 from .task import PLACED, PLACING, Attempt
 
 
-class Rec:
+class Placements:
     """Working copy of the placements of one chunk of a job's tasks."""
 
     __slots__ = (
@@ -72,7 +72,7 @@
         self.conditions: dict[str, int] = {}
         self.puts: dict[str, tuple[Any, int | None]] = {}
         self.deletes: list[str] = []
-        self.recs: list[Rec] = []
+        self.recs: list[Placements] = []
         self.placed: list[Attempt] = []
         self.ended: list[tuple[str, tuple[str, int]]] = []
         self.done_jobs: list[str] = []
--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -5,14 +5,14 @@
 from . import machine as mc
 from .backfill import Item
 from .job import Job
-from .lives import Lives
 from .model import NEVER_US, US, Spec, bits, rank
+from .orders import Actions
 from .placement import Hold, Seat
+from .placements import Placements
 from .preempt import Preemption
-from .rec import Rec
 from .records import CHUNK, QUEUED
-from .talk import Actions
 from .task import Attempt
+from .upkeep import Upkeep
 
 # How long a job whose task gave way leaves the room alone.
 YIELD_US = 5 * US
@@ -20,7 +20,7 @@
 LAST = 10 * NEVER_US
 
 
-class Placing(Lives):
+class Placing(Upkeep):
     """Decides starts; a decision is only a plan until its record is committed."""
 
     def seats(self, now_us: int) -> list[Seat]:
@@ -187,7 +187,9 @@
         able = [s for s in seats if s.allows(spec, known[1].zone) and s.room.fits(spec)]
         return min(able, key=lambda s: s.cost(spec, self.backfill.queue_of(spec)), default=None)
 
-    def _place(self, rec: Rec, task: int, machine: str, number: int, now_us: int, wall_us: int) -> None:
+    def _place(
+        self, rec: Placements, task: int, machine: str, number: int, now_us: int, wall_us: int
+    ) -> None:
         m = self.machines[machine]
         a = Attempt(rec.spec, task, machine, m.session, number, wall_us, now_us)
         rec.attempts[task] = a
--- a/pearstep/core/reports.py
+++ b/pearstep/core/reports.py
@@ -5,9 +5,9 @@
 from . import machine as mc
 from .machine import MACHINE, Machine
 from .model import US, Spec
+from .orders import Order, ReportSeen, split_task
 from .part import Part
 from .records import CANCELLED, CHUNK, MachineRec
-from .talk import Order, ReportSeen, split_task
 from .task import ATTEMPT, ENDED, HEARD, PLACED, PLACING, Attempt
 
 # How often a machine's images are recorded: they only help to choose, and writes are scarce.
--- a/pearstep/core/lives.py
+++ b/pearstep/core/upkeep.py
@@ -6,14 +6,14 @@
 from .gang import BREAKING, Gang
 from .machine import MACHINE, Machine
 from .model import US
+from .orders import IMMEDIATE, Actions
 from .parts import part_of
 from .records import CANCELLED
 from .reports import Reports
-from .talk import IMMEDIATE, Actions
 from .task import HEARD, PLACED, PLACING, Attempt
 
 
-class Lives(Reports):
+class Upkeep(Reports):
     """Follows what time, cancellations, withdrawn routes and drains ask for."""
 
     def _follow_cancels(self, now_us: int, wall_us: int, actions: Actions) -> None:
--- a/pearstep/workers.py
+++ b/pearstep/workers.py
@@ -12,9 +12,9 @@
 from . import wire
 from .core.machine import Machine
 from .core.model import US
+from .core.orders import Actions, Order, ReportSeen, TaskSeen
 from .core.owner import Owner
 from .core.parts import part_of
-from .core.talk import Actions, Order, ReportSeen, TaskSeen
 from .core.view import View
 from .http import Answer, Client
 
--- a/tests/test_faulty.py
+++ b/tests/test_faulty.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from pearstep.core.model import US
+from pearstep.core.orders import Actions
 from pearstep.core.records import CHUNK
-from pearstep.core.talk import Actions
 from pearstep.core.trouble import LONGEST_REST_S, Troubles
 
 from .test_leader import Office
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,8 +1,8 @@
 """The owner's hazards: one place per task, takeover, late messages, cancellations, gangs."""
 
 from pearstep.core.model import US
+from pearstep.core.orders import Actions, ReportSeen
 from pearstep.core.records import CANCELLED, DrainRec, JobRec, RouteRec
-from pearstep.core.talk import Actions, ReportSeen
 
 from .world import World, spec
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from pearstep.core.model import US, MachineType, Spec
+from pearstep.core.orders import Actions, OwnerConfig, ReportSeen, TaskSeen
 from pearstep.core.owner import Owner
 from pearstep.core.records import HolderRec, JobRec, MachineRec, RouteRec
-from pearstep.core.talk import Actions, OwnerConfig, ReportSeen, TaskSeen
 from pearstep.core.view import View
 
 SMALL = MachineType("small", 32, 0, 128, 60, 0.5, 2.0, 0.6, 15 * US, ("a", "b"))
