--- /dev/null
+++ b/tests/test_gaps.py
@@ -0,0 +1,139 @@
+"""What an owner makes of gaps: its own, a machine's that is gone, and answers that overtake each other."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearstep.core.model import US
+from pearstep.core.orders import ReportSeen
+from pearstep.core.records import DrainRec
+
+from .world import World, spec
+
+
+def test_owner_that_stood_still_does_not_take_its_machines_for_lost():
+    for still in (False, True):
+        w = World()
+        for n in range(4):
+            w.machine(f"m{n}")
+        w.later(12)
+        if still:
+            w.owner.stood_still(11 * US, w.now)
+        w.run()
+        assert bool(w.view.drains) != still
+    w.later(11)
+    w.run()
+    assert len(w.view.drains) == 4  # but silence after it counts
+
+
+def test_lease_that_ran_out_while_the_owner_stood_still_has_run_out():
+    w = World()
+    w.machine("m0")
+    w.submit(spec(tasks=1))
+    (m, name, number), = w.starts(w.run())
+    w.report(m, (name, number, "running"))
+    w.later(20)
+    w.owner.stood_still(19 * US, w.now)
+    w.step()
+    assert (name, number) not in w.owner.machines[m].attempts
+
+
+def test_place_on_a_machine_that_is_gone_is_freed_by_the_next_owner():
+    w = World()
+    w.machine("m0")
+    w.machine("m1")
+    w.submit(spec(tasks=1))
+    (m, name, number), = w.starts(w.run())
+    w.put(f"d/{m}", DrainRec("lost", w.now))
+    # The owner dies after the records of the deleted machine, and before the end of its task, are written.
+    w.ledger.txn({}, {}, [f"d/{m}", f"m/0/{m}"])
+    w.take_over()
+    other = ({"m0", "m1"} - {m}).pop()
+    w.report(other)
+    assert {(o, n) for o, n, _ in w.starts(w.run())} == {(other, name)}
+
+
+def test_answer_to_a_direct_command_may_overtake_the_answer_with_a_start():
+    w = World()
+    w.machine("m0")
+    w.submit(spec(tasks=1))
+    (m, name, number), = w.starts(w.run())
+    assert ("start", name, number, None) in w.report(m)  # on its way
+    owner = w.owner
+    attempt = owner.machines[m].attempts[name, number]
+    attempt.stop_grace_us = 0
+    rep = ReportSeen(m, "127.0.0.1:1", "small", "a", False, 1, w.seqs[m] + 1, owner.token, None)
+    owner.on_report(rep, w.now, w.now, direct=True)
+    assert owner.machines[m].attempts
+    w.report(m, seq=w.seqs[m] + 2)  # the next report comes after that answer
+    assert not owner.machines[m].attempts
+
+
+def test_short_task_starts_with_the_answer_to_a_report():
+    w = World()
+    w.machine("m0")
+    w.submit(spec(tasks=1, estimate_us=4 * US))
+    assert not w.starts(w.run())
+    (order,) = w.report("m0")
+    assert order[0] == "start"
+
+
+steps = st.lists(
+    st.sampled_from(["report", "silent", "still", "exit", "take_over", "run", "run", "new_session"]),
+    max_size=40,
+)
+
+
+@given(steps)
+def test_whatever_gaps_there_are_a_task_has_one_place(events):
+    w = World()
+    for n in range(3):
+        w.machine(f"m{n}")
+    w.submit(spec(tasks=2, checkpoint_us=0))
+    running: dict[str, set[tuple[str, int]]] = {f"m{n}": set() for n in range(3)}
+    sessions = dict.fromkeys(running, 1)
+
+    def obey(orders, m):
+        for op, name, number, _ in orders:
+            if op == "start":
+                everywhere = {n for other, on in running.items() if other != m for n, _ in on}
+                assert name not in everywhere
+                running[m].add((name, number))
+            elif op == "stop":
+                running[m].discard((name, number))
+
+    def report(m):
+        obey(w.report(m, *[(n, k, "running") for n, k in sorted(running[m])], session=sessions[m]), m)
+
+    def perform(actions):
+        for m, orders in actions.sends.items():
+            if w.owner.machines[m].session == sessions[m]:
+                w.owner.directs_sent(w.owner.machines[m], orders)
+                obey(orders, m)
+                w.owner.directs_answered(w.owner.machines[m], orders)
+
+    for event in events:
+        if event == "report":
+            for m in running:
+                report(m)
+        elif event == "silent":
+            w.later(1)
+        elif event == "still":
+            # Longer than a lease: the workers' leases end, for nobody answered them.
+            w.later(20)
+            for m in running:
+                running[m].clear()
+                sessions[m] += 1
+            w.owner.stood_still(20 * US, w.now)
+        elif event == "exit":
+            for m, on in running.items():
+                for name, number in sorted(on)[:1]:
+                    on.discard((name, number))
+                    obey(w.report(m, (name, number, "exited", "stopped"), session=sessions[m]), m)
+        elif event == "new_session":
+            sessions["m0"] += 1
+            running["m0"].clear()
+        elif event == "take_over":
+            w.take_over()
+        else:
+            perform(w.step())
+            perform(w.commit())
