--- a/pearstep/chief.py
+++ b/pearstep/chief.py
@@ -101,26 +101,32 @@
                 await asyncio.sleep(0.2)
 
     async def _write_all(self, plans: list[Routing]) -> None:
-        """Write new routes, as many as fit a transaction at a time. What was planned together is written
-        together: a hundred jobs that came at once would otherwise wait for a pass each dozen. A plan of
-        which the world has moved on fails on its conditions, and the rest is planned afresh."""
+        """As many routes as fit go into one transaction, and all that was planned together is written in
+        one go: a hundred jobs that came at once would otherwise wait for a pass each dozen. A plan of which
+        the world has moved on fails on its conditions and is made afresh. What moves tasks fails often,
+        since owners place them meanwhile, so each move stands for itself, after the rest. Seen: with long
+        arrays on the move, every few seconds the routes of new gangs failed with them."""
         most = self.settings.txn_ops
         puts: dict[str, Any] = {}
         conditions: dict[str, int] = {}
         begun = self.now_us()
-        for plan in plans:
+        for plan in sorted(plans, key=lambda p: p.moved):
             more, when = plan.writes()
-            if puts and (len(puts) + len(more) > most or len(conditions) + len(when) > 3 * most):
-                log.debug("routing %s", " ".join(puts))
-                if await self._write(puts, conditions) != COMMITTED or self.now_us() - begun > WRITE_US:
+            full = len(puts) + len(more) > most or len(conditions) + len(when) > 3 * most
+            if puts and (full or plan.moved):
+                await self._write_routes(puts, conditions)
+                if not self.current() or self.now_us() - begun > WRITE_US:
                     return
                 await self.store.may_write()
                 puts, conditions = {}, {}
             puts.update(more)
             conditions.update(when)
         if puts:
-            log.debug("routing %s", " ".join(puts))
-            await self._write(puts, conditions)
+            await self._write_routes(puts, conditions)
+
+    async def _write_routes(self, puts: dict[str, Any], conditions: dict[str, int]) -> None:
+        log.debug("routing %s", " ".join(puts))
+        await self._write(puts, conditions)
 
     async def tend_fleet(self) -> None:
         """Rent for what finds no room, return what is not needed, repeat what was not answered."""
--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -33,10 +33,6 @@
 
 log = logging.getLogger("pearstep")
 
-# How many times as long as it took a pass rests: a fortieth of the time at the most is spent on walks.
-PACE = 39
-
-
 class Controller:
     """One node."""
 
@@ -208,7 +204,9 @@
     async def _rest(self, begun: int) -> None:
         """A pause after a pass. The longer it took, the longer reports, users and leases go first."""
         took_s = (now_us() - begun) / US
-        await asyncio.sleep(max(self.settings.tuning.leading.step_ms / 1000, min(PACE * took_s, 1.0)))
+        leading = self.settings.tuning.leading
+        rest_s = min(leading.pace * took_s, leading.longest_rest_ms / 1000)
+        await asyncio.sleep(max(leading.step_ms / 1000, rest_s))
 
     def _perform(self, owner: Owner, actions: Actions) -> None:
         self.workers.perform(owner, actions)
--- a/pearstep/settings.py
+++ b/pearstep/settings.py
@@ -160,6 +160,9 @@
     step_ms: Positive = 50.0
     follow_ms: Positive = 120.0
     refresh_ms: Positive = 150.0
+    # How many times as long as it took a pass rests, and the longest rest: processor time for the rest.
+    pace: Positive = 39.0
+    longest_rest_ms: Positive = 1000.0
 
 
 class Tuning(msgspec.Struct, forbid_unknown_fields=True):
