A conflict over one job undoes nothing of the others in a group commit

Cause: a refused group commit was decided afresh as a whole, so one route that moved undid a dozen placements and they waited for the next walk. The state service names the conditions that failed: records that have nothing to do with them are written again as they are. Ruled out: unknown outcomes, which still undo everything. The end of a record that is not undone stays pending.

--- a/pearstep/controller.py
+++ b/pearstep/controller.py
@@ -26,7 +26,7 @@
 from .http import Answer, Client, Server
 from .mesh import Mesh
 from .settings import Settings, address, us
-from .store import COMMITTED, REFUSED, Store
+from .store import COMMITTED, CONFLICT, REFUSED, Store
 from .users import Users
 from .watch import Watch
 from .workers import Workers
@@ -262,7 +262,8 @@
                         await asyncio.sleep(random.uniform(0.1, 0.3))
                         if self.owners.get(owner.part) is not owner:
                             return
-                    owner.rejected(batch, now_us(), wall_us(), unchanged=False)
+                    failed = outcome.failed if outcome.state == CONFLICT else ()
+                    owner.rejected(batch, now_us(), wall_us(), unchanged=False, failed=failed)
                     self.dirty.set()
         finally:
             self._committing.discard(owner.part)
--- a/pearstep/core/commits.py
+++ b/pearstep/core/commits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 
 from .job import Job, Route
@@ -179,24 +181,38 @@
         for ref in batch.done_jobs:
             self.finish.pop(ref, None)
 
-    def rejected(self, batch: Batch, now_us: int, wall_us: int, unchanged: bool) -> None:
+    def rejected(
+        self, batch: Batch, now_us: int, wall_us: int, unchanged: bool, failed: Collection[str] = ()
+    ) -> None:
         """The group commit was not applied, or may not have been. ``unchanged``: it certainly was not,
-        and nothing stands against it: write it again later. Otherwise, the view having been renewed,
-        everything in it is decided afresh."""
+        and nothing stands against it: write it again later. The same holds for the records that have
+        nothing to do with the conditions that ``failed``: seen with routes that move, that a dozen
+        placements were undone for one. Otherwise, the view having been renewed, everything in it is
+        decided afresh."""
+        undone: set[tuple[str, int]] = set()
         for rec in batch.recs:
             rec.inflight = False
-            if unchanged:
+            if unchanged or (failed and not self._concerned(rec, batch, failed)):
                 rec.dirty = True
             else:
+                undone.add((rec.spec.ref, rec.chunk))
                 self._reload(rec, now_us, wall_us)
         for key, (value, _) in batch.puts.items():
             if key.startswith(("m/", "d/")):
                 self.outbox.setdefault(key, (value, {}))
         for key in batch.deletes:
             self.outbox.setdefault(key, (None, {}))
-        if not unchanged:
-            # Ends that went with the batch and were not recorded are seen again in the next reports:
-            # their attempts are back, and nothing is reaped before its end is recorded.
-            for name, ended in batch.ended:
-                if (m := self.machines.get(name)) is not None:
-                    m.pending_ends.discard(ended)
+        # Ends that went with an undone record and were not written are seen again in the next reports:
+        # their attempts are back, and nothing is reaped before its end is recorded.
+        for name, ended in batch.ended:
+            ref, number = split_task(ended[0])
+            if (ref, number // CHUNK) in undone and (m := self.machines.get(name)) is not None:
+                m.pending_ends.discard(ended)
+
+    def _concerned(self, rec: Placements, batch: Batch, failed: Collection[str]) -> bool:
+        """Whether a failed condition of the batch speaks against this record."""
+        ref = rec.spec.ref
+        return (
+            not {rec.key, f"j/{ref}", route_key(self.part, ref), f"part/{self.part}"}.isdisjoint(failed)
+            or any(a.spec.ref == ref and f"d/{a.machine}" in failed for a in batch.placed)
+        )
--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -5,7 +5,7 @@
 
 from pearstep.core.model import US
 from pearstep.core.orders import ReportSeen
-from pearstep.core.records import DrainRec
+from pearstep.core.records import DrainRec, RouteRec
 
 from .world import World, spec
 
@@ -77,6 +77,27 @@
     assert order[0] == "start"
 
 
+def test_conflict_over_one_job_undoes_nothing_of_the_others():
+    w = World()
+    w.machine("m0", mtype="big")
+    for n in (1, 2, 3):
+        w.submit(spec(f"req-{n}", tasks=1))
+    w.step()
+    batch = w.owner.gather(w.now, w.now)
+    assert len(batch.placed) == 3
+    kept = {a.spec.ref: a for a in batch.placed}
+    w.ledger.txn({}, {"r/0/req-2": RouteRec("")})  # taken away by the leader meanwhile
+    failed = w.ledger.txn(batch.conditions, {k: v for k, (v, _) in batch.puts.items()})
+    assert failed == ["r/0/req-2"]
+    w.catch_up()
+    w.owner.rejected(batch, w.now, w.now, unchanged=False, failed=failed)
+    again = w.owner.gather(w.now, w.now)
+    assert {a.spec.ref for a in again.placed} == {"req-1", "req-3"}
+    assert all(kept[a.spec.ref] is a for a in again.placed)
+    w.owner.rejected(again, w.now, w.now, unchanged=True)
+    assert {n for _, n, _ in w.starts(w.commit())} == {"req-1/0", "req-3/0"}
+
+
 steps = st.lists(
     st.sampled_from(["report", "silent", "still", "exit", "take_over", "run", "run", "new_session"]),
     max_size=40,
