--- a/tests/test_faulty.py
+++ b/tests/test_faulty.py
@@ -104,6 +104,19 @@
     assert o.view.jobs["req-1"].done.bit_count() > 1000
 
 
+def test_on_an_idle_fleet_only_so_many_tasks_of_a_job_wait_in_a_part():
+    o = Office(parts=3)
+    for n in range(30):
+        o.machine(f"m{n}", n % 3, mtype="big")
+    o.submit(spec(tasks=25_000, cpus=0.25, memory_gb=0.9))
+    for _ in range(3):
+        o.now += 10 * US
+        o.route()
+    routes = o.view.jobs["req-1"].routes.values()
+    assert 512 < sum(r.mask.bit_count() for r in routes) and max(r.mask.bit_count() for r in routes) <= 512
+    assert not o.leader.placeless  # nothing is rented for what waits its turn
+
+
 def test_record_of_many_running_tasks_stays_within_a_value():
     w = World()
     for n in range(8):
