--- a/tests/test_faulty.py
+++ b/tests/test_faulty.py
@@ -134,9 +134,7 @@
 
 def test_end_of_an_array_takes_the_place_of_its_last_record():
     w = World()
-    w.machine("m0")
-    w.submit(spec(tasks=1))
-    (m, name, number), = w.starts(w.run())
+    m, name, number = w.place_one()
     w.report(m, (name, number, "running"))
     w.report(m, (name, number, "exited", "done"))
     batch = w.owner.gather(w.now, w.now)
--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -27,9 +27,7 @@
 
 def test_lease_that_ran_out_while_the_owner_stood_still_has_run_out():
     w = World()
-    w.machine("m0")
-    w.submit(spec(tasks=1))
-    (m, name, number), = w.starts(w.run())
+    m, name, number = w.place_one()
     w.report(m, (name, number, "running"))
     w.later(20)
     w.owner.stood_still(19 * US, w.now)
@@ -54,9 +52,7 @@
 
 def test_answer_to_a_direct_command_may_overtake_the_answer_with_a_start():
     w = World()
-    w.machine("m0")
-    w.submit(spec(tasks=1))
-    (m, name, number), = w.starts(w.run())
+    m, name, number = w.place_one()
     assert ("start", name, number, None) in w.report(m)  # on its way
     owner = w.owner
     attempt = owner.machines[m].attempts[name, number]
--- a/tests/world.py
+++ b/tests/world.py
@@ -157,6 +157,13 @@
         """Time passes."""
         self.now += int(seconds * US)
 
+    def place_one(self) -> tuple[str, str, int]:
+        """One task on the one machine there is, its start on the way: machine, task, attempt."""
+        self.machine("m0")
+        self.submit(spec(tasks=1))
+        (start,) = self.starts(self.run())
+        return start
+
     def starts(self, actions: Actions) -> set[tuple[str, str, int]]:
         """The direct starts: machine, task, attempt."""
         return {
