Controller modules move into pearstep/node, what all share into links, wire is a package

Need: the product grows by a worker, an archive, stand-ins, a client and a console, and the top level should show what it consists of. controller.py joined five loops with commits and actions.

Change: modules move without change of behaviour; the owner's passes and commits are node/owning.py, the leader's loops node/leading.py, the owner's settings are derived in node/settings.py. run.py starts a node as before.

--- /dev/null
+++ b/pearstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/pearstep/cli.py
+++ b/pearstep/cli/node.py
@@ -10,8 +10,8 @@
 
 import click
 
-from . import __version__
-from .settings import Settings, SettingsError, load
+from .. import __version__
+from ..node.settings import Settings, SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -49,7 +49,7 @@
 
 
 def _run(settings: Settings) -> None:
-    from .controller import Controller
+    from ..node.controller import Controller
 
     gc.freeze()
     # The replica of the state is large and lives long: to go through it often costs more than it frees.
--- a/pearstep/store.py
+++ b/pearstep/links/store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from . import wire
+from ..wire import node as wire
 from .budget import IDLE, NORMAL, URGENT, Budget
 from .http import Client
 
--- /dev/null
+++ b/pearstep/node/__init__.py
@@ -0,0 +1,1 @@
+"""A controller node: sockets and timers round the core."""
--- a/pearstep/chief.py
+++ b/pearstep/node/chief.py
@@ -9,15 +9,15 @@
 
 import msgspec
 
+from ..core.fleet import Fleet, FleetConfig, Wish
+from ..core.leader import Leader
+from ..core.model import MachineType
+from ..core.records import DrainRec, HireRec
+from ..core.routing import Routing
+from ..core.view import View
+from ..links.store import COMMITTED, CONFLICT, REFUSED, Store
 from .cloud import Cloud
-from .core.fleet import Fleet, FleetConfig, Wish
-from .core.leader import Leader
-from .core.model import MachineType
-from .core.records import DrainRec, HireRec
-from .core.routing import Routing
-from .core.view import View
 from .settings import Settings, us
-from .store import COMMITTED, CONFLICT, REFUSED, Store
 
 log = logging.getLogger("pearstep.chief")
 
--- a/pearstep/cloud.py
+++ b/pearstep/node/cloud.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from . import wire
-from .budget import NORMAL, URGENT, Budget
-from .core.model import MachineType
-from .http import Client
+from ..core.model import MachineType
+from ..links.budget import NORMAL, URGENT, Budget
+from ..links.http import Client
+from ..wire import node as wire
 
 log = logging.getLogger("pearstep.cloud")
 
--- /dev/null
+++ b/pearstep/node/controller.py
@@ -0,0 +1,169 @@
+"""Joins a node's parts: serves requests, runs the loops, and hands on what changed. Following the state
+service is ``following``, parts and the lead are ``holding``, acting on them ``owning`` and ``leading``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from tornado.httputil import HTTPServerRequest
+
+from ..core.model import MachineType
+from ..core.owner import Owner
+from ..core.reach import STATE
+from ..core.view import View
+from ..links.budget import Budget
+from ..links.clocks import now_us, wall_us
+from ..links.http import Answer, Client, Server
+from ..links.store import Store
+from ..wire import node as wire
+from .chief import Chief
+from .cloud import Cloud
+from .following import Follower
+from .holding import Holding
+from .leading import Leading
+from .mesh import Mesh
+from .owning import Owning
+from .settings import Settings, address, owner_config
+from .users import Users
+from .watch import Watch
+from .workers import Workers
+
+log = logging.getLogger("pearstep")
+
+
+class Controller:
+    """One node."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.node = settings.node
+        limits = settings.params
+        ends = settings.platform.endpoints
+        client = Client(max(50, limits.resources.fd_limit // 4), (ends.state, ends.cloud))
+        share = settings.parts
+        self.store = Store(
+            client,
+            settings.platform.endpoints.state,
+            Budget(limits.state.rps / share * 1.2, limits.state.rps / share, now_us),
+            Budget(limits.state.write_rps / share * 1.25, max(limits.state.write_rps / share, 1.0), now_us),
+            now_us,
+        )
+        self.cloud = Cloud(
+            client, settings.platform.endpoints.cloud,
+            Budget(limits.cloud.rps / 2, max(limits.cloud.rps / 2, 1.0), now_us),
+        )  # fmt: skip
+        self.view = View()
+        self.types: dict[str, MachineType] = {}
+        self.owners: dict[int, Owner] = {}
+        self.dirty = asyncio.Event()
+        self.route_due = asyncio.Event()
+        self.follower = Follower(
+            self.store, self.view, settings.tuning.leading, self._changed, self._holders_changed
+        )
+        self.users = Users(
+            self.store, self.view, settings.teams, self.follower.fresh, self.follower.applied, wall_us,
+            settings.tuning.guarding.retry_after_s, settings.txn_ops,
+        )  # fmt: skip
+        self.users.home = settings.home
+        self.workers = Workers(
+            client, self.view, self.owners, self.node, settings.parts, now_us, wall_us, self.dirty.set
+        )
+        self.mesh = Mesh(client, [o.peer_addr for o in settings.platform.others])
+        self.watch = Watch(settings, self.store, self.cloud, self.workers, self.mesh, self.view,
+                           self.owners, now_us)
+        self.holding = Holding(
+            settings, self.store, self.view, self.types, self.owners, self.follower, self.watch,
+            self._new_owner, self._new_chief, self._gained,
+        )  # fmt: skip
+        self.workers.awake = self.holding.awake
+        leading = settings.tuning.leading
+        self.owning = Owning(
+            leading, self.owners, self.store, self.cloud, self.view, self.follower, self.workers,
+            self.dirty, self.holding.awake, self._changed,
+        )  # fmt: skip
+        self.leading = Leading(
+            leading, self.holding, self.store, self.cloud, self.types, self.route_due, self._sync_ready
+        )
+
+    # -- serving ---------------------------------------------------------------------------------
+
+    def handle(self, request: HTTPServerRequest) -> Answer | Awaitable[Answer]:
+        """Everything that arrives on the public address."""
+        path = request.path
+        if path == wire.REPORT:
+            return self.workers.report(request)
+        if path == wire.READY:
+            if request.method != "GET":
+                return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
+            ready = self.follower.loaded and bool(self.types) and STATE not in self.watch.reach.lacks
+            return (200 if ready else 503), msgspec.json.encode({"ready": ready}), {}
+        return self._answer_user(request)
+
+    async def _answer_user(self, request: HTTPServerRequest) -> Answer:
+        answer = await self.users.handle(request)
+        return answer if answer is not None else (404, wire.error_answer("no such path"), {})
+
+    async def run(self) -> None:
+        """Until the process is killed."""
+        host, port = address(self.settings.platform.bind)
+        Server(self.handle).listen(host, port)
+        if self.settings.platform.mesh_addr:
+            Server(self.mesh.handle).listen(*address(self.settings.platform.mesh_addr))
+        log.info("node %s on %s:%d, part %d of %d", self.node, host, port, self.settings.home,
+                 self.settings.parts)
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self.follower.follow, self.holding.keep_lease, self.holding.claim, self.holding.look,
+            self.holding.tick, self.owning.step,
+            self.leading.plan, self.leading.read_types, self.leading.tend_fleet,
+        ]  # fmt: skip
+        await asyncio.gather(*(self._forever(loop) for loop in loops))
+
+    async def _forever(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """A fault in one loop is logged and must not end the process."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                log.exception("%s failed", loop.__name__)
+                await asyncio.sleep(0.5)
+
+    def _sync_ready(self) -> None:
+        self.users.types = self.types
+        self.users.ready = self.follower.loaded and bool(self.types)
+
+    def _holders_changed(self) -> None:
+        self._sync_ready()
+        self.holding.check()
+
+    def _new_owner(self, part: int, stamp: int) -> Owner:
+        return Owner(part, stamp, self.view, self.types, owner_config(self.settings), now_us(), wall_us())
+
+    def _new_chief(self, stamp: int) -> Chief:
+        return Chief(self.settings, self.view, self.types, self.store, self.cloud, stamp, now_us, wall_us,
+                     self.follower.applied, self.follower.fresh)
+
+    def _gained(self) -> None:
+        self.dirty.set()
+        self.route_due.set()
+
+    def _changed(self, key: str, known: bool = False) -> None:
+        """``known``: the key was there before, and only its value is new."""
+        kind, _, rest = key.partition("/")
+        ref = ""
+        if kind == "j":
+            ref = rest
+        elif kind in ("r", "p"):
+            ref = rest.split("/")[1]
+        if ref:
+            for owner in self.owners.values():
+                owner.job_changed(ref, now_us(), wall_us(), by_owner=kind == "p")
+        elif kind == "d" or (kind == "m" and not known):
+            for owner in self.owners.values():
+                owner.walk_due |= rest.rpartition("/")[2] in owner.machines
+        if kind == "d" or any(owner.walk_due for owner in self.owners.values()):
+            self.dirty.set()
+        if self.holding.chief is not None:
+            self.route_due.set()
--- a/pearstep/following.py
+++ b/pearstep/node/following.py
@@ -10,12 +10,12 @@
 
 import msgspec
 
-from . import wire
-from .clocks import now_us
-from .core.model import US
-from .core.view import View
+from ..core.model import US
+from ..core.view import View
+from ..links.clocks import now_us
+from ..links.store import Store
+from ..wire import node as wire
 from .settings import Leading
-from .store import Store
 
 log = logging.getLogger("pearstep")
 
--- a/pearstep/holding.py
+++ b/pearstep/node/holding.py
@@ -8,17 +8,17 @@
 from collections.abc import Callable
 from typing import Any
 
-from .budget import URGENT
+from ..core.model import MachineType
+from ..core.owner import Owner
+from ..core.reach import LACKING, STATE, WOKEN
+from ..core.records import HolderRec
+from ..core.view import View
+from ..links.budget import URGENT
+from ..links.clocks import now_us
+from ..links.store import COMMITTED, CONFLICT, NO_LEASE, Store
 from .chief import Chief
-from .clocks import now_us
-from .core.model import MachineType
-from .core.owner import Owner
-from .core.reach import LACKING, STATE, WOKEN
-from .core.records import HolderRec
-from .core.view import View
 from .following import Follower
 from .settings import Settings, us
-from .store import COMMITTED, CONFLICT, NO_LEASE, Store
 from .watch import TICK_US, US, Watch
 
 log = logging.getLogger("pearstep")
--- /dev/null
+++ b/pearstep/node/leading.py
@@ -0,0 +1,64 @@
+"""Acts as the leader while this node holds the lead: plans routes, tends the fleet, and reads the machine
+types, which every node needs."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from ..core.model import MachineType
+from ..links.clocks import now_us
+from ..links.store import Store
+from .cloud import Cloud
+from .holding import Holding
+from .owning import rest_after
+from .settings import Leading as LeadingSettings
+
+
+class Leading:
+    """The leader's loops. ``due`` asks for a pass; ``types`` is shared with all that decides."""
+
+    def __init__(
+        self, settings: LeadingSettings, holding: Holding, store: Store, cloud: Cloud,
+        types: dict[str, MachineType], due: asyncio.Event, types_known: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.holding = holding
+        self.store = store
+        self.cloud = cloud
+        self.types = types
+        self.due = due
+        self._types_known = types_known
+
+    async def plan(self) -> None:
+        """One pass over what waits, once something asks for it."""
+        try:
+            await asyncio.wait_for(self.due.wait(), 0.7)
+        except TimeoutError:
+            pass
+        self.due.clear()
+        chief = self.holding.chief
+        if chief is None or self.store.refused_since is not None or not self.holding.awake():
+            await asyncio.sleep(0.1)
+            return
+        begun = now_us()
+        plans = chief.plan()
+        thought = now_us() - begun
+        await chief.write(plans)
+        await rest_after(self.settings, now_us() - thought)
+
+    async def tend_fleet(self) -> None:
+        """Rent and return machines."""
+        await asyncio.sleep(0.4)
+        chief = self.holding.chief
+        if chief is not None and self.store.refused_since is None and self.holding.awake():
+            await chief.tend_fleet()
+
+    async def read_types(self) -> None:
+        """The machine types on offer, now and then: prices move."""
+        types = await self.cloud.types()
+        if types:
+            self.types.update(types)
+            self._types_known()
+        await asyncio.sleep(30 if types else random.uniform(0.5, 1.0))
--- a/pearstep/mesh.py
+++ b/pearstep/node/mesh.py
@@ -9,8 +9,8 @@
 import msgspec
 from tornado.httputil import HTTPServerRequest
 
-from . import wire
-from .http import Answer, Client
+from ..links.http import Answer, Client
+from ..wire import node as wire
 
 
 class Status(msgspec.Struct):
--- a/pearstep/settings.py
+++ b/pearstep/node/settings.py
@@ -11,7 +11,8 @@
 import yaml
 from msgspec import Meta
 
-from .core.model import US, Team
+from ..core.model import US, Team
+from ..core.orders import OwnerConfig
 
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
@@ -272,3 +273,28 @@
     if platform.node in {o.node for o in platform.others}:
         raise SettingsError(f"{config}: others names this node, {platform.node}")
     return Settings(platform, tuned)
+
+
+def owner_config(s: Settings) -> OwnerConfig:
+    """What an owner needs of the settings, in the core's terms."""
+    tuning = s.tuning
+    return OwnerConfig(
+        parts=s.parts,
+        zone=s.platform.location,
+        lease_us=s.lease_us,
+        report_us=s.report_us,
+        cancel_us=s.cancel_us,
+        bounds_us=[us(b) for b in tuning.backfilling.bounds_s],
+        initial_delay_us=us(tuning.backfilling.initial_delay_s),
+        batch=tuning.backfilling.batch,
+        threshold=tuning.backfilling.threshold,
+        overrun=tuning.backfilling.overrun,
+        silent_us=s.silent_us,
+        sick_errors=tuning.guarding.sick_errors,
+        suspect_machines=tuning.guarding.suspect_machines,
+        value_bytes=int(s.params.state.value_kb * 1024),
+        txn_ops=s.txn_ops,
+        urgent=s.urgent,
+        aims=s.aims,
+        spare_us=us(tuning.backfilling.spare_s),
+    )
--- a/pearstep/users.py
+++ b/pearstep/node/users.py
@@ -9,15 +9,15 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from . import wire
-from .budget import URGENT
-from .core.job import Job
-from .core.model import MachineType, Spec, Team
-from .core.placement import type_allowed
-from .core.records import CANCELLED, DONE, JobRec
-from .core.view import View
-from .http import Answer
-from .store import COMMITTED, CONFLICT, Outcome, Store
+from ..core.job import Job
+from ..core.model import MachineType, Spec, Team
+from ..core.placement import type_allowed
+from ..core.records import CANCELLED, DONE, JobRec
+from ..core.view import View
+from ..links.budget import URGENT
+from ..links.http import Answer
+from ..links.store import COMMITTED, CONFLICT, Outcome, Store
+from ..wire import node as wire
 
 log = logging.getLogger("pearstep.users")
 
--- a/pearstep/watch.py
+++ b/pearstep/node/watch.py
@@ -7,15 +7,15 @@
 import random
 from collections.abc import Callable
 
+from ..core import machine as mc
+from ..core.model import US
+from ..core.owner import Owner
+from ..core.reach import CLOUD, STATE, WOKEN, WORKERS, Reach
+from ..core.view import View
+from ..links.store import Store
 from .cloud import Cloud
-from .core import machine as mc
-from .core.model import US
-from .core.owner import Owner
-from .core.reach import CLOUD, STATE, WOKEN, WORKERS, Reach
-from .core.view import View
 from .mesh import Mesh, Status
 from .settings import Settings
-from .store import Store
 from .workers import Workers
 
 log = logging.getLogger("pearstep")
--- a/pearstep/workers.py
+++ b/pearstep/node/workers.py
@@ -9,14 +9,14 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from . import wire
-from .core.machine import Machine
-from .core.model import US
-from .core.orders import Actions, Order, ReportSeen, TaskSeen
-from .core.owner import Owner
-from .core.parts import part_of
-from .core.view import View
-from .http import Answer, Client
+from ..core.machine import Machine
+from ..core.model import US
+from ..core.orders import Actions, Order, ReportSeen, TaskSeen
+from ..core.owner import Owner
+from ..core.parts import part_of
+from ..core.view import View
+from ..links.http import Answer, Client
+from ..wire import node as wire
 
 log = logging.getLogger("pearstep.workers")
 
--- a/pearstep/wire.py
+++ b/pearstep/wire/node.py
@@ -1,4 +1,4 @@
-"""Messages on the wire. The protocol's own names for things appear in this module only."""
+"""The controllers' side of the protocol. The protocol's own names for things appear in this package only."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta
 
-from .core.model import US, MachineType, Spec
+from ..core.model import US, MachineType, Spec
 
 JOBS = "/v2/runs"
 CANCEL = "abort"
--- a/run.py
+++ b/run.py
@@ -7,7 +7,7 @@
 sys.dont_write_bytecode = False
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
-from pearstep.cli import main  # noqa: E402
+from pearstep.cli.node import main  # noqa: E402
 
 if __name__ == "__main__":
     main()
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -5,10 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearstep import settings, wire
 from pearstep.core.model import bits, from_ranges, to_ranges
 from pearstep.core.records import DECODERS, JobRec, Place, PlaceRec
 from pearstep.core.view import View
+from pearstep.node import settings
+from pearstep.wire import node as wire
 
 from .world import spec
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -6,8 +6,8 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.testing import bind_unused_port
 
-from pearstep.budget import NORMAL, URGENT, Budget
-from pearstep.http import NO_ANSWER, Client
+from pearstep.links.budget import NORMAL, URGENT, Budget
+from pearstep.links.http import NO_ANSWER, Client
 
 
 class StandIn:
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -5,13 +5,13 @@
 import msgspec
 from tornado.testing import bind_unused_port
 
-from pearstep import wire
-from pearstep.budget import Budget
 from pearstep.core.model import Team
 from pearstep.core.view import View
-from pearstep.http import Client, Server
-from pearstep.store import Store
-from pearstep.users import Users
+from pearstep.links.budget import Budget
+from pearstep.links.http import Client, Server
+from pearstep.links.store import Store
+from pearstep.node.users import Users
+from pearstep.wire import node as wire
 
 from .test_formats import GOOD
 from .world import TYPES, Ledger
