Archive core: segments, index, attempts' records, placement, copies and repair

Change: pearstep/archive keeps attempts in checksummed, compressed frames with group commit, an SQLite index that is made from the segments, records with a state machine of their own, rendezvous hashing over members with epochs, repair by digests within a rate, retention and quotas. Nothing imports it unless an archive node is started.

--- /dev/null
+++ b/pearstep/archive/frames.py
@@ -0,0 +1,114 @@
+"""Frames of a segment: length, checksum, and a payload in msgpack. A frame is whole or it is not there.
+
+Layout, little endian: magic (2 bytes), length of the payload (u32), XXH3-64 of the payload (u64), payload.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable, Iterator
+
+import msgspec
+import xxhash
+import zstandard
+
+from .records import MOST_CHUNK, Chunk, Key, Record
+
+MAGIC = b"\xa7P"
+HEAD = struct.Struct("<2sIQ")
+MOST_PAYLOAD = 8 * 1024 * 1024
+
+
+class RecordFrame(msgspec.Struct, array_like=True, tag="r"):
+    """A version of an attempt's record."""
+
+    record: Record
+
+
+class ChunkFrame(msgspec.Struct, array_like=True, tag="c"):
+    """Bytes of an attempt."""
+
+    key: Key
+    chunk: Chunk
+
+
+class ArtefactFrame(msgspec.Struct, array_like=True, tag="a"):
+    """A published file of an attempt; its bytes are the blob named by its SHA-256."""
+
+    key: Key
+    name: str
+    digest: str
+    size: int
+    at_us: int
+
+
+class JobFrame(msgspec.Struct, array_like=True, tag="j"):
+    """A job's description, as its user uploaded it (JSON)."""
+
+    job: str
+    body: bytes
+
+
+Frame = RecordFrame | ChunkFrame | ArtefactFrame | JobFrame
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+_compress = zstandard.ZstdCompressor(level=3)
+_expand = zstandard.ZstdDecompressor()
+
+
+class Damaged(Exception):
+    """Bytes that are not what was written; the text says where."""
+
+
+def encode(frame: Frame) -> bytes:
+    """A frame as it stands in a segment."""
+    payload = _encoder.encode(frame)
+    return HEAD.pack(MAGIC, len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
+
+
+def decode(payload: bytes) -> Frame:
+    """The frame in a payload whose checksum was right."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as err:
+        raise Damaged(f"frame cannot be read: {err}") from None
+
+
+def scan(read: Callable[[int, int], bytes], begin: int, size: int) -> Iterator[tuple[int, int, Frame | None]]:
+    """All frames from ``begin``, as position, length with head, and frame. Where a frame is torn or damaged
+    it yields None with the length that is left, and stops."""
+    at = begin
+    while at < size:
+        head = read(at, HEAD.size)
+        if len(head) < HEAD.size:
+            yield at, size - at, None
+            return
+        magic, length, digest = HEAD.unpack(head)
+        if magic != MAGIC or length > MOST_PAYLOAD or at + HEAD.size + length > size:
+            yield at, size - at, None
+            return
+        payload = read(at + HEAD.size, length)
+        if len(payload) < length or xxhash.xxh3_64_intdigest(payload) != digest:
+            yield at, size - at, None
+            return
+        yield at, HEAD.size + length, decode(payload)
+        at += HEAD.size + length
+
+
+def pack(stream: str, offset: int, data: bytes) -> Chunk:
+    """A chunk of plain bytes, compressed and with its checksum."""
+    return Chunk(stream, offset, len(data), xxhash.xxh3_64_intdigest(data), _compress.compress(data))
+
+
+def unpack(chunk: Chunk) -> bytes:
+    """The plain bytes of a chunk; zero bytes stand for a hole. Raises Damaged."""
+    if chunk.hole:
+        return bytes(chunk.length)
+    try:
+        data = _expand.decompress(chunk.data, max_output_size=MOST_CHUNK)
+    except zstandard.ZstdError as err:
+        raise Damaged(f"chunk at {chunk.offset} cannot be expanded: {err}") from None
+    if len(data) != chunk.length or xxhash.xxh3_64_intdigest(data) != chunk.digest:
+        raise Damaged(f"chunk at {chunk.offset} is not what was written")
+    return data
--- /dev/null
+++ b/pearstep/archive/reading.py
@@ -0,0 +1,141 @@
+"""Answers to readers: finds an attempt on whichever node has the most of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from ..links.http import Client
+from . import messages as msg
+from .index import Artefact
+from .members import Membership
+from .records import EXPIRED, OPEN, Key, Live
+from .writer import Writer
+
+MOST_READ = 1024 * 1024
+
+
+class AttemptFacts(msgspec.Struct):
+    """What readers are told of an attempt (JSON). ``have`` is how much of each stream can be read; ``whole``
+    says whether that is all there will ever be and all there was."""
+
+    job: str
+    task: int
+    attempt: int
+    machine: str
+    start: int
+    state: str
+    cause: str
+    code: int | None
+    opened_us: int
+    ended_us: int
+    have: dict[str, int]
+    whole: bool
+    team: str
+    cls: str
+    version: int
+    artefacts: list[Artefact]
+    node: str = ""
+
+    @property
+    def key(self) -> Key:
+        """The name of the record."""
+        return Key(self.job, self.task, self.attempt, self.machine, self.start)
+
+
+def facts(live: Live, files: list[Artefact], node: str) -> AttemptFacts:
+    """A record in readers' terms."""
+    r, k = live.record, live.record.key
+    whole = r.state == "sealed" and all(live.have.get(s, 0) == end for s, end in r.ends.items())
+    return AttemptFacts(
+        k.job,
+        k.task,
+        k.attempt,
+        k.machine,
+        k.start,
+        r.state,
+        r.cause,
+        r.code,
+        r.opened_us,
+        r.ended_us,
+        dict(live.have),
+        whole,
+        r.team,
+        r.cls,
+        r.version,
+        files,
+        node,
+    )
+
+
+class Reading:
+    """Reads here and, where others may know more, there."""
+
+    def __init__(self, client: Client, membership: Membership, writer: Writer) -> None:
+        self.client = client
+        self.membership = membership
+        self.writer = writer
+
+    def here(self, job: str, task: int | None) -> list[AttemptFacts]:
+        """Attempts in this node's own index, and what is not indexed yet but durable is among it."""
+        index = self.writer.storage.index
+        return [
+            facts(live, index.artefacts(live.record.key), self.membership.name)
+            for live in index.find(job, task)
+        ]
+
+    async def everywhere(self, job: str, task: int | None) -> list[AttemptFacts]:
+        """Attempts as told by the node that has the most of each, ordered by task and attempt."""
+        me = self.membership
+        query = f"{msg.ATTEMPTS}?job={job}&local=1" + (f"&task={task}" if task is not None else "")
+        peers = [addr for name, addr in me.layout.members.items() if name != me.name]
+        answers = await asyncio.gather(*(self.client.fetch(a, "GET", query, timeout_s=5.0) for a in peers))
+        best = {f.key: f for f in self.here(job, task)}
+        for status, data in answers:
+            if status != 200:
+                continue
+            for fact in msgspec.json.decode(data, type=list[AttemptFacts]):
+                mine = best.get(fact.key)
+                if mine is None or _more(fact, mine):
+                    best[fact.key] = fact
+        return sorted(best.values(), key=lambda f: (f.task, f.attempt, f.opened_us))
+
+    async def log(
+        self, key: Key, stream: str, begin: int, most: int, local: bool
+    ) -> tuple[bytes, list[tuple[int, int]], AttemptFacts] | None:
+        """Bytes of a stream, the holes among them, and what is known of the attempt; None if nobody knows
+        it. Raises Damaged."""
+        most = min(most, MOST_READ)
+        known = self.here(key.job, key.task) if local else await self.everywhere(key.job, key.task)
+        fact = next((f for f in known if f.key == key), None)
+        if fact is None:
+            return None
+        if fact.node in ("", self.membership.name):
+            data, holes = await self.writer.call(self.writer.storage.read, key, stream, begin, most)
+            return data, holes, fact
+        addr = self.membership.layout.members.get(fact.node, "")
+        status, body = await self.client.fetch(
+            addr, "POST", f"{msg.LOG}?stream={stream}&from={begin}&most={most}&local=1", msg.encode(key), 10.0
+        )
+        if status != 200:
+            return b"", [], fact
+        data, holes = msgspec.msgpack.decode(body, type=tuple[bytes, list[tuple[int, int]]])
+        return data, holes, fact
+
+    def bucket(self, bucket: int) -> msg.Inventory:
+        """All that is here of a bucket."""
+        index = self.writer.storage.index
+        lives = index.bucket(bucket)
+        files: dict[str, list[tuple[str, str, int, int]]] = {}
+        for live in lives:
+            key = live.record.key
+            found = [(a.name, a.digest, a.size, a.at_us) for a in index.artefacts(key)]
+            if found:
+                files[key.text()] = found
+        return msg.Inventory([(live.record, live.have) for live in lives], files)
+
+
+def _more(a: AttemptFacts, b: AttemptFacts) -> bool:
+    rank = {OPEN: 0, "lost": 0, "sealed": 1, EXPIRED: 2}
+    return (rank[a.state], sum(a.have.values()), a.version) > (rank[b.state], sum(b.have.values()), b.version)
--- /dev/null
+++ b/pearstep/archive/repair.py
@@ -0,0 +1,100 @@
+"""Making copies good again after a node was away, lost or new: what to compare and what to fetch.
+
+Every node asks the others for digests of the buckets that it keeps. Where they differ it asks for the
+bucket's inventory and fetches what it lacks, within a rate. So a node that lost everything, one that was
+away for a while, and one that joined all do the same, and nobody has to know which it was.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from .placement import Layout
+from .records import Key, Live, Record, merge
+
+
+class Fetch(msgspec.Struct, frozen=True):
+    """Something to fetch from a peer: a stream's bytes from ``begin`` to ``end``."""
+
+    peer: str
+    key: Key
+    stream: str
+    begin: int
+    end: int
+
+
+class Plan(msgspec.Struct):
+    """What a bucket lacks: records that are newer elsewhere, ranges of streams, artefacts."""
+
+    records: list[Record] = []
+    fetches: list[Fetch] = []
+    artefacts: list[tuple[str, Key, str, str, int, int]] = []
+
+    @property
+    def bytes(self) -> int:
+        """Plain bytes to fetch."""
+        return sum(f.end - f.begin for f in self.fetches) + sum(a[4] for a in self.artefacts)
+
+
+def digests(rows: Iterable[tuple[int, str, int, int, str, int, int, str, int]]) -> dict[int, int]:
+    """A digest for each bucket that holds something, in any order of its attempts."""
+    out: dict[int, int] = {}
+    for bucket, job, task, attempt, machine, start, _version, state, size in rows:
+        one = xxhash.xxh3_64_intdigest(f"{job}/{task}/{attempt}/{machine}/{start}:{state}:{size}".encode())
+        out[bucket] = out.get(bucket, 0) ^ one
+    return out
+
+
+def differing(
+    name: str, layout: Layout, mine: dict[int, int], peer: str, theirs: dict[int, int]
+) -> list[int]:
+    """The buckets that this node keeps and of which the peer holds something else. A peer that does not keep
+    the bucket any more may still hold what the keepers lack."""
+    return sorted(
+        b for b, digest in theirs.items()
+        if layout.keeps(name, b) and mine.get(b, 0) != digest and peer in layout.members
+    )  # fmt: skip
+
+
+def plan(
+    mine: dict[Key, Live], peer: str, theirs: Iterable[tuple[Record, dict[str, int]]],
+    my_files: dict[Key, set[str]], their_files: dict[str, list[tuple[str, str, int, int]]],
+) -> Plan:  # fmt: skip
+    """What to fetch of one bucket from one peer."""
+    out = Plan()
+    for record, have in theirs:
+        live = mine.get(record.key)
+        if record.state == "expired":
+            if live is not None and merge(live.record, record):
+                out.records.append(record)
+            continue
+        if live is not None and live.record.state == "expired":
+            continue
+        for stream, end in sorted(have.items()):
+            begin = live.have.get(stream, 0) if live is not None else 0
+            if begin < end:
+                out.fetches.append(Fetch(peer, record.key, stream, begin, end))
+        if merge(live.record if live is not None else None, record):
+            out.records.append(record)
+        known = my_files.get(record.key, set())
+        for name, digest, size, at_us in their_files.get(record.key.text(), ()):
+            if name not in known:
+                out.artefacts.append((peer, record.key, name, digest, size, at_us))
+    return out
+
+
+class Pace:
+    """How much may be fetched: a rate in bytes per second, paid for after the fact, so that a single large
+    piece passes too."""
+
+    def __init__(self, bytes_per_s: float, now_us: int) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.free_us = now_us
+
+    def spend(self, count: int, now_us: int) -> int:
+        """Microseconds to wait before the next piece."""
+        self.free_us = max(self.free_us, now_us) + int(count / self.bytes_per_s * 1e6)
+        return self.free_us - now_us
--- /dev/null
+++ b/pearstep/archive/retention.py
@@ -0,0 +1,67 @@
+"""What is kept how long, who may store how much, and when nothing more is taken: decisions only."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from ..core.model import US
+from .records import EXPIRED, Record, change
+
+DAY_US = 86_400 * US
+NotNegative = Annotated[float, Meta(ge=0)]
+
+
+class Retention(msgspec.Struct, forbid_unknown_fields=True):
+    """Days that ended attempts are kept, by class; ``default_days`` for all others. 0: for ever."""
+
+    default_days: NotNegative = 0.0
+    classes: dict[str, NotNegative] = {}
+
+    def rules(self) -> list[tuple[str, int]]:
+        """(class, age in microseconds) for all that ends at some time; the class '' is the rest."""
+        out = [(cls, int(days * DAY_US)) for cls, days in sorted(self.classes.items()) if days]
+        if self.default_days:
+            out.append(("", int(self.default_days * DAY_US)))
+        return out
+
+    def due(self, record: Record, wall_us: int) -> bool:
+        """Whether a record is past its time."""
+        days = self.classes.get(record.cls, self.default_days)
+        return bool(days) and record.ended_us > 0 and wall_us - record.ended_us >= days * DAY_US
+
+
+def expire(record: Record) -> Record:
+    """The record that is left of an attempt past its time."""
+    return change(record, EXPIRED)
+
+
+class Room:
+    """Whether something more may be stored. ``reserve_bytes`` stay free on the disk, so that what ends and
+    what is given back can still be written; ``quotas`` are bytes by team, 0 or none: no limit."""
+
+    def __init__(self, reserve_bytes: int, quotas: dict[str, int]) -> None:
+        self.reserve_bytes = reserve_bytes
+        self.quotas = quotas
+        self.used: dict[str, int] = {}
+        self.free = 1 << 62
+
+    def counted(self, used: dict[str, int], free: int) -> None:
+        """Figures read from the index and the disk, now and then."""
+        self.used, self.free = dict(used), free
+
+    def refusal(self, team: str, length: int) -> tuple[int, str] | None:
+        """(status, reason) if ``length`` more bytes of a team cannot be taken now."""
+        if length and self.free - length < self.reserve_bytes:
+            return 503, "the archive's disk is full"
+        quota = self.quotas.get(team, 0)
+        if length and quota and self.used.get(team, 0) + length > quota:
+            return 429, f"team {team} has used its quota of {quota} bytes"
+        return None
+
+    def took(self, team: str, length: int) -> None:
+        """Count what was stored since."""
+        self.used[team] = self.used.get(team, 0) + length
+        self.free -= length
--- /dev/null
+++ b/pearstep/archive/settings.py
@@ -0,0 +1,61 @@
+"""An archive node's settings: YAML, checked at start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import yaml
+from msgspec import Meta
+
+from .retention import Retention
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+Address = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+
+
+class ArchiveError(Exception):
+    """A setting is missing or wrong; the text is one line for the operator."""
+
+
+class ArchiveSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """What an operator says of one archive node. ``state`` is the state service; without it the node stands
+    alone. ``copies`` is on how many nodes each attempt is kept, ``durable_on`` on how many it must be durable
+    before the worker is told so."""
+
+    name: Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+    bind: Address
+    directory: str
+    state: str = ""
+    copies: Count = 1
+    durable_on: Count = 1
+    segment_mb: Positive = 64.0
+    reserve_mb: NotNegative = 256.0
+    quotas_mb: dict[str, Positive] = {}
+    retention: Retention = msgspec.field(default_factory=Retention)
+    lost_after_s: Positive = 30.0
+    lease_s: Positive = 6.0
+    patience_s: NotNegative = 10.0
+    repair_mb_per_s: Positive = 20.0
+    repair_pause_s: Positive = 5.0
+    upkeep_pause_s: Positive = 2.0
+    most_artefact_mb: Positive = 4096.0
+    state_rps: Positive = 8.0
+    state_write_rps: Positive = 2.0
+
+
+def load(file: str) -> ArchiveSettings:
+    """Read and check a file; raises ArchiveError with one line."""
+    try:
+        raw = yaml.safe_load(Path(file).read_text()) or {}
+        settings = msgspec.convert(raw, ArchiveSettings, strict=False)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as err:
+        raise ArchiveError(f"{file}: {' '.join(str(err).split())}") from None
+    if settings.durable_on > settings.copies:
+        raise ArchiveError(f"{file}: durable_on may be at most copies ({settings.copies})")
+    if settings.copies > 1 and not settings.state:
+        raise ArchiveError(f"{file}: copies on other nodes need the state service: set `state`")
+    return settings
--- a/pearstep/links/store.py
+++ b/pearstep/links/store.py
@@ -129,14 +129,14 @@
         status, _ = await self._ask("POST", f"{wire.LEASES}/{lease}/{wire.RENEW}", urgency=URGENT)
         return True if status == 200 else False if status == 404 else None
 
-    async def list_all(self) -> tuple[list[wire.Pair], int] | None:
-        """All keys, page by page, and the revision of the first page: changes after it may or may not
-        be in later pages, and are read again afterwards."""
+    async def list_all(self, prefix: str = "") -> tuple[list[wire.Pair], int] | None:
+        """All keys with a prefix, page by page, and the revision of the first page: changes after it may or
+        may not be in later pages, and are read again afterwards."""
         pairs: list[wire.Pair] = []
         after: str | None = None
         revision: int | None = None
         while True:
-            path = wire.list_query("", after, 1000)
+            path = wire.list_query(prefix, after, 1000)
             status, data = await self._ask("GET", path, urgency=URGENT, timeout_s=5)
             if status != 200:
                 return None
