Archive: the files of an attempt are published by one manifest, in one frame

Change: uploads are named by their digest, all are verified and made durable, one frame names them all.

--- a/pearstep/archive/copies.py
+++ b/pearstep/archive/copies.py
@@ -14,7 +14,7 @@
 
 from ..links.http import Client
 from . import messages as msg
-from .frames import ArtefactFrame, ChunkFrame, RecordFrame
+from .frames import ChunkFrame, File, RecordFrame
 from .members import Membership
 from .messages import Result
 from .placement import bucket_of
@@ -166,12 +166,12 @@
         theirs = msg.inventories.decode(data)
         index = self.writer.storage.index
         mine: dict[Key, Live] = {}
-        files: dict[Key, set[str]] = {}
+        published: set[Key] = set()
         for live in await self.writer.call(index.bucket, bucket):
-            key = live.record.key
-            mine[key] = live
-            files[key] = {a.name for a in index.artefacts(key)}
-        todo = plan(mine, peer, theirs.records, files, theirs.artefacts)
+            mine[live.record.key] = live
+            if index.manifest(live.record.key) is not None:
+                published.add(live.record.key)
+        todo = plan(mine, peer, theirs.records, published, theirs.manifests)
         return await self._fetch(addr, todo)
 
     async def fetch_attempt(self, key: Key) -> bool:
@@ -187,7 +187,7 @@
                 continue
             theirs = [r for r in msg.inventories.decode(data).records if r[0].key == key]
             live = self.writer.known(key)
-            came += await self._fetch(addr, plan({key: live} if live else {}, peer, theirs, {}, {}))
+            came += await self._fetch(addr, plan({key: live} if live else {}, peer, theirs))
         return came > 0
 
     async def _fetch(self, addr: str, todo: Plan) -> int:
@@ -222,27 +222,27 @@
                 live.record if live is not None else None, record
             )):  # fmt: skip
                 await self.writer.put_record(record)
-        for _, key, name, digest, size, at_us in todo.artefacts:
-            if await self._fetch_blob(addr, key, name, digest, size, at_us):
-                done += size
+        for manifest in todo.manifests:
+            if all([await self._fetch_blob(addr, f) for f in manifest.files]):
+                why = await self.writer.call(self.writer.storage.publish, manifest)
+                if why:
+                    log.warning("copy of the files of %s: %s", manifest.key.text(), why)
+                else:
+                    done += sum(f.size for f in manifest.files)
         return done
 
-    async def _fetch_blob(self, addr: str, key: Key, name: str, digest: str, size: int, at_us: int) -> bool:
+    async def _fetch_blob(self, addr: str, file: File) -> bool:
         storage = self.writer.storage
-        upload = f"copy-{digest}"
         at = 0
-        while at < size and not storage.index.knows_blob(digest):
+        while at < file.size and not storage.index.knows_blob(file.digest):
             status, data = await self.client.fetch(
-                addr, "GET", f"{msg.BLOB}/{digest}?from={at}&most={PIECE}", timeout_s=10.0
+                addr, "GET", f"{msg.BLOB}/{file.digest}?from={at}&most={PIECE}", timeout_s=10.0
             )
             if status != 200 or not data:
                 return False
-            reached = await self.writer.call(storage.upload, upload, at, data)
+            reached = await self.writer.call(storage.upload, file.digest, at, data)
             await asyncio.sleep(self.pace.spend(len(data), self.writer.now_us()) / 1e6)
             if reached <= at:
-                break
+                return False
             at = reached
-        why = await self.writer.call(storage.publish, upload, ArtefactFrame(key, name, digest, size, at_us))
-        if why:
-            log.warning("copy of %s of %s: %s", name, key.text(), why)
-        return not why
+        return True
--- a/pearstep/archive/frames.py
+++ b/pearstep/archive/frames.py
@@ -32,13 +32,19 @@
     chunk: Chunk
 
 
-class ArtefactFrame(msgspec.Struct, array_like=True, tag="a"):
-    """A published file of an attempt; its bytes are the blob named by its SHA-256."""
+class File(msgspec.Struct, array_like=True, frozen=True):
+    """A file of an attempt; its bytes are the blob named by its SHA-256."""
 
-    key: Key
     name: str
     digest: str
     size: int
+
+
+class ManifestFrame(msgspec.Struct, array_like=True, tag="a"):
+    """All published files of an attempt, in one frame: they are seen together or not at all."""
+
+    key: Key
+    files: list[File]
     at_us: int
 
 
@@ -49,7 +55,7 @@
     body: bytes
 
 
-Frame = RecordFrame | ChunkFrame | ArtefactFrame | JobFrame
+Frame = RecordFrame | ChunkFrame | ManifestFrame | JobFrame
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
--- a/pearstep/archive/index.py
+++ b/pearstep/archive/index.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .frames import ArtefactFrame, ChunkFrame, Frame, JobFrame, RecordFrame
+from .frames import ChunkFrame, File, Frame, JobFrame, ManifestFrame, RecordFrame
 from .placement import bucket_of
 from .records import EXPIRED, SEALED, STREAMS, Key, Live, Record, merge
 
@@ -30,9 +30,9 @@
 create table if not exists chunks(
   id integer, stream integer, offset integer, length integer, segment integer, position integer,
   size integer, primary key(id, stream, offset)) without rowid;
+create table if not exists manifests(id integer primary key, segment integer, frame integer, at_us integer);
 create table if not exists artefacts(
-  id integer, name text, digest text, size integer, at_us integer, segment integer, frame integer,
-  primary key(id, name)) without rowid;
+  id integer, name text, digest text, size integer, primary key(id, name)) without rowid;
 create index if not exists by_digest on artefacts(digest);
 create table if not exists jobs(job text primary key, body blob, segment integer, size integer) without rowid;
 """
@@ -41,15 +41,6 @@
 _record = msgspec.msgpack.Decoder(Record)
 
 
-class Artefact(msgspec.Struct):
-    """A published file."""
-
-    name: str
-    digest: str
-    size: int
-    at_us: int
-
-
 class Index:
     """One connection behind a lock: the writer's thread and the readers take turns."""
 
@@ -136,22 +127,22 @@
                 "insert or replace into chunks values(?, ?, ?, ?, ?, ?, ?)",
                 (rowid, stream, c.offset, c.length, seg, at, size),
             )
-        elif isinstance(frame, ArtefactFrame):
+        elif isinstance(frame, ManifestFrame):
             rowid, mine, _ = self._row(db, frame.key)
             if mine is not None and mine.state == EXPIRED:
                 return
-            was = db.execute(
-                "select segment, frame from artefacts where id=? and name=?", (rowid, frame.name)
-            ).fetchone()
+            was = db.execute("select segment, frame from manifests where id=?", (rowid,)).fetchone()
             if was is None:
+                plain = sum(f.size for f in frame.files)
                 db.execute(
                     "update attempts set bytes = bytes + ?, plain = plain + ? where id=?",
-                    (frame.size, frame.size, rowid),
+                    (plain, plain, rowid),
                 )
             self._shift(db, was, (seg, size))
-            db.execute(
-                "insert or replace into artefacts values(?, ?, ?, ?, ?, ?, ?)",
-                (rowid, frame.name, frame.digest, frame.size, frame.at_us, seg, size),
+            db.execute("insert or replace into manifests values(?, ?, ?, ?)", (rowid, seg, size, frame.at_us))
+            db.executemany(
+                "insert or replace into artefacts values(?, ?, ?, ?)",
+                [(rowid, f.name, f.digest, f.size) for f in frame.files],
             )
         elif isinstance(frame, JobFrame):
             was = db.execute("select segment, size from jobs where job=?", (frame.job,)).fetchone()
@@ -186,10 +177,9 @@
             "select segment, sum(size) from chunks where id=? group by segment", (rowid,)
         ).fetchall():
             self._shift(db, (seg, size), None)
-        for seg, size in db.execute(
-            "select segment, sum(frame) from artefacts where id=? group by segment", (rowid,)
-        ).fetchall():
+        for seg, size in db.execute("select segment, frame from manifests where id=?", (rowid,)).fetchall():
             self._shift(db, (seg, size), None)
+        db.execute("delete from manifests where id=?", (rowid,))
         db.execute("delete from chunks where id=?", (rowid,))
         db.execute("delete from artefacts where id=?", (rowid,))
         db.execute("update attempts set bytes=0, plain=0 where id=?", (rowid,))
@@ -249,13 +239,14 @@
             out.append(Live(record, dict(record.ends or record.lost_from) if gone else self._have(rowid)))
         return out
 
-    def artefacts(self, key: Key) -> list[Artefact]:
-        """The published files of an attempt by name."""
+    def manifest(self, key: Key) -> ManifestFrame | None:
+        """The published files of an attempt, by name."""
         rowid = self._id(key)
-        rows = self._all(
-            "select name, digest, size, at_us from artefacts where id=? order by name", rowid or 0
-        )
-        return [Artefact(*row) for row in rows]
+        at = self._all("select at_us from manifests where id=?", rowid or 0)
+        if not at:
+            return None
+        rows = self._all("select name, digest, size from artefacts where id=? order by name", rowid)
+        return ManifestFrame(key, [File(*row) for row in rows], at[0][0])
 
     def knows_blob(self, digest: str) -> bool:
         """Whether a published file has this content."""
@@ -313,16 +304,9 @@
                 " and segment=? and version=?", key.job, key.task, key.attempt, key.machine, key.start,
                 segment, frame.record.version,
             ))  # fmt: skip
-        if isinstance(frame, ArtefactFrame):
+        if isinstance(frame, ManifestFrame):
             rowid = self._id(frame.key)
-            return bool(
-                self._all(
-                    "select 1 from artefacts where id=? and name=? and segment=?",
-                    rowid or 0,
-                    frame.name,
-                    segment,
-                )
-            )
+            return bool(self._all("select 1 from manifests where id=? and segment=?", rowid or 0, segment))
         return bool(self._all("select 1 from jobs where job=? and segment=?", frame.job, segment))
 
     def forget_segment(self, segment: int) -> None:
--- a/pearstep/archive/messages.py
+++ b/pearstep/archive/messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from .frames import Frame
+from .frames import File, Frame, ManifestFrame
 from .records import Append, Key, Record
 
 APPEND = "/v1/append"
@@ -47,21 +47,18 @@
 
 
 class Publish(msgspec.Struct, array_like=True):
-    """Asks to make an upload visible."""
+    """Asks to make uploads visible as the files of an attempt, all of them at once."""
 
     key: Key
     team: str
-    name: str
-    digest: str
-    size: int
-    upload: str
+    files: list[File]
 
 
 class Inventory(msgspec.Struct, array_like=True):
-    """The attempts of a bucket: records and how much of each is there, with artefact names and digests."""
+    """The attempts of a bucket: records and how much of each is there, with their files."""
 
     records: list[tuple[Record, dict[str, int]]]
-    artefacts: dict[str, list[tuple[str, str, int, int]]] = {}
+    manifests: list[ManifestFrame] = []
 
 
 class RawChunks(msgspec.Struct, array_like=True):
--- a/pearstep/archive/reading.py
+++ b/pearstep/archive/reading.py
@@ -8,7 +8,7 @@
 
 from ..links.http import Client
 from . import messages as msg
-from .index import Artefact
+from .frames import ManifestFrame
 from .members import Membership
 from .records import EXPIRED, OPEN, Key, Live
 from .writer import Writer
@@ -35,7 +35,7 @@
     team: str
     cls: str
     version: int
-    artefacts: list[Artefact]
+    artefacts: list[dict[str, str | int]]
     node: str = ""
 
     @property
@@ -44,9 +44,12 @@
         return Key(self.job, self.task, self.attempt, self.machine, self.start)
 
 
-def facts(live: Live, files: list[Artefact], node: str) -> AttemptFacts:
+def facts(live: Live, manifest: ManifestFrame | None, node: str) -> AttemptFacts:
     """A record in readers' terms."""
     r, k = live.record, live.record.key
+    files: list[dict[str, str | int]] = [
+        {"name": f.name, "size": f.size, "sha256": f.digest} for f in (manifest.files if manifest else ())
+    ]
     whole = r.state == "sealed" and all(live.have.get(s, 0) == end for s, end in r.ends.items())
     return AttemptFacts(
         k.job,
@@ -81,7 +84,7 @@
         """Attempts in this node's own index, and what is not indexed yet but durable is among it."""
         index = self.writer.storage.index
         return [
-            facts(live, index.artefacts(live.record.key), self.membership.name)
+            facts(live, index.manifest(live.record.key), self.membership.name)
             for live in index.find(job, task)
         ]
 
@@ -127,13 +130,8 @@
         """All that is here of a bucket."""
         index = self.writer.storage.index
         lives = index.bucket(bucket)
-        files: dict[str, list[tuple[str, str, int, int]]] = {}
-        for live in lives:
-            key = live.record.key
-            found = [(a.name, a.digest, a.size, a.at_us) for a in index.artefacts(key)]
-            if found:
-                files[key.text()] = found
-        return msg.Inventory([(live.record, live.have) for live in lives], files)
+        manifests = [m for live in lives if (m := index.manifest(live.record.key)) is not None]
+        return msg.Inventory([(live.record, live.have) for live in lives], manifests)
 
 
 def _more(a: AttemptFacts, b: AttemptFacts) -> bool:
--- a/pearstep/archive/repair.py
+++ b/pearstep/archive/repair.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 import xxhash
 
+from .frames import ManifestFrame
 from .placement import Layout
-from .records import Key, Live, Record, merge
+from .records import EXPIRED, Key, Live, Record, merge
 
 
 class Fetch(msgspec.Struct, frozen=True):
@@ -27,16 +28,18 @@
 
 
 class Plan(msgspec.Struct):
-    """What a bucket lacks: records that are newer elsewhere, ranges of streams, artefacts."""
+    """What a bucket lacks: records that are newer elsewhere, ranges of streams, files."""
 
     records: list[Record] = []
     fetches: list[Fetch] = []
-    artefacts: list[tuple[str, Key, str, str, int, int]] = []
+    manifests: list[ManifestFrame] = []
 
     @property
     def bytes(self) -> int:
         """Plain bytes to fetch."""
-        return sum(f.end - f.begin for f in self.fetches) + sum(a[4] for a in self.artefacts)
+        return sum(f.end - f.begin for f in self.fetches) + sum(
+            f.size for m in self.manifests for f in m.files
+        )
 
 
 def digests(rows: Iterable[tuple[int, str, int, int, str, int, int, str, int]]) -> dict[int, int]:
@@ -61,17 +64,19 @@
 
 def plan(
     mine: dict[Key, Live], peer: str, theirs: Iterable[tuple[Record, dict[str, int]]],
-    my_files: dict[Key, set[str]], their_files: dict[str, list[tuple[str, str, int, int]]],
+    published: Collection[Key] = (), manifests: Iterable[ManifestFrame] = (),
 ) -> Plan:  # fmt: skip
-    """What to fetch of one bucket from one peer."""
+    """What to fetch of one bucket from one peer. ``published`` are the attempts whose files are here."""
     out = Plan()
+    gone = {key for key, live in mine.items() if live.record.state == EXPIRED}
     for record, have in theirs:
         live = mine.get(record.key)
-        if record.state == "expired":
+        if record.state == EXPIRED:
+            gone.add(record.key)
             if live is not None and merge(live.record, record):
                 out.records.append(record)
             continue
-        if live is not None and live.record.state == "expired":
+        if record.key in gone:
             continue
         for stream, end in sorted(have.items()):
             begin = live.have.get(stream, 0) if live is not None else 0
@@ -79,10 +84,7 @@
                 out.fetches.append(Fetch(peer, record.key, stream, begin, end))
         if merge(live.record if live is not None else None, record):
             out.records.append(record)
-        known = my_files.get(record.key, set())
-        for name, digest, size, at_us in their_files.get(record.key.text(), ()):
-            if name not in known:
-                out.artefacts.append((peer, record.key, name, digest, size, at_us))
+    out.manifests = [m for m in manifests if m.key not in published and m.key not in gone]
     return out
 
 
--- a/pearstep/archive/service.py
+++ b/pearstep/archive/service.py
@@ -24,7 +24,7 @@
 from .board import Board, Post
 from .copies import Copies
 from .disk import Folder
-from .frames import ArtefactFrame, ChunkFrame, Damaged, Frame, RecordFrame
+from .frames import ChunkFrame, Damaged, Frame, ManifestFrame, RecordFrame
 from .index import Index
 from .members import Joining, Membership
 from .placement import bucket_of
@@ -252,9 +252,11 @@
         return 200, msg.encode(msg.RawChunks(frames)), {}
 
     async def _upload(self, request: HTTPServerRequest) -> Answer:
-        name = _arg(request, "name")
-        if not re.fullmatch(r"[a-z0-9-]{8,80}", name):
-            return refusal(400, "an upload's name has 8 to 80 of a-z, 0-9 and -")
+        name = _arg(request, "digest")
+        if not re.fullmatch(r"[0-9a-f]{64}", name):
+            return refusal(400, "an upload is named by its SHA-256 in hexadecimal")
+        if self.index.knows_blob(name):
+            return 200, b'{"known":true}', {}
         offset = int(_arg(request, "from") or 0)
         if offset + len(request.body) > self.settings.most_artefact_mb * MB:
             return refusal(413, f"an artefact has at most {self.settings.most_artefact_mb:g} MB")
@@ -267,27 +269,27 @@
     async def _publish(self, request: HTTPServerRequest) -> Answer:
         wish = msg.publishes.decode(request.body)
         self._check(wish.key)
-        bad = msg.bad_name(wish.name)
-        if bad:
-            return refusal(422, bad)
-        live = self.writer.known(wish.key)
-        if live is None:
+        names = [f.name for f in wish.files]
+        bad = next((f"{n!r}: {why}" for n in names if (why := msg.bad_name(n))), "")
+        if bad or len(set(names)) < len(names):
+            return refusal(422, bad or "two files have the same name")
+        if not all(re.fullmatch(r"[0-9a-f]{64}", f.digest) and f.size >= 0 for f in wish.files):
+            return refusal(422, "a digest is SHA-256 in hexadecimal")
+        if len(names) > msg.MOST_ARTEFACTS:
+            return refusal(413, f"an attempt has at most {msg.MOST_ARTEFACTS} artefacts")
+        if self.writer.known(wish.key) is None:
             return refusal(404, "no such attempt")
-        known = self.index.artefacts(wish.key)
-        same = next((a for a in known if a.name == wish.name), None)
-        if same is not None:
-            if same.digest == wish.digest:
+        known = self.index.manifest(wish.key)
+        if known is not None:
+            if sorted(known.files, key=str) == sorted(wish.files, key=str):
                 return 200, b"{}", {}
-            return refusal(409, "this attempt has another file of this name")
-        if len(known) >= msg.MOST_ARTEFACTS:
-            return refusal(413, f"an attempt has at most {msg.MOST_ARTEFACTS} artefacts")
+            return refusal(409, "this attempt has published other files")
         if not self.membership.takes:
             return refusal(503, f"this node is {self.membership.state}", RETRY_S)
-        frame = ArtefactFrame(wish.key, wish.name, wish.digest, wish.size, wall_us())
-        why = await self.writer.call(self.storage.publish, wish.upload, frame)
+        why = await self.writer.call(self.storage.publish, ManifestFrame(wish.key, wish.files, wall_us()))
         if why:
             return refusal(422, why)
-        self.room.took(wish.team, wish.size)
+        self.room.took(wish.team, sum(f.size for f in wish.files))
         return 200, b"{}", {}
 
     async def _blob(self, request: HTTPServerRequest, digest: str) -> Answer:
--- a/pearstep/archive/storage.py
+++ b/pearstep/archive/storage.py
@@ -12,7 +12,7 @@
 from functools import partial
 
 from .disk import Disk
-from .frames import HEAD, ArtefactFrame, ChunkFrame, Damaged, Frame, decode, encode, scan, unpack
+from .frames import HEAD, ChunkFrame, Damaged, Frame, ManifestFrame, decode, encode, scan, unpack
 from .index import Index
 from .records import Chunk, Key
 
@@ -143,24 +143,25 @@
             return size + len(data)
         return size
 
-    def publish(self, upload: str, frame: ArtefactFrame) -> str:
-        """Make an upload visible as an artefact, or say why not. Its bytes are verified and durable before
-        its name is, and the frame that names it comes last: half an upload is never seen."""
-        file = f"{UPLOADS}/{upload}"
-        blob = f"{BLOBS}/{frame.digest}"
-        if not self.index.knows_blob(frame.digest):
-            if self.disk.size(file) != frame.size:
-                return f"{self.disk.size(file)} of {frame.size} bytes are here"
-            if self.digest(file, frame.size) != frame.digest:
-                self.disk.remove(file)
-                return "the bytes do not have this digest"
-            if frame.size == 0:
-                self.disk.append(file, b"")
-            self.disk.sync(file)
-            self.disk.rename(file, blob)
+    def publish(self, frame: ManifestFrame) -> str:
+        """Make uploads visible as the files of an attempt, or say why not. Their bytes are verified and
+        durable before their names are, and the one frame that names all of them comes last: half an upload,
+        or half a manifest, is never seen. An upload is named by the digest that it should have."""
+        new = {f.digest: f for f in frame.files if not self.index.knows_blob(f.digest)}
+        for file in new.values():
+            name = f"{UPLOADS}/{file.digest}"
+            if file.size == 0:
+                self.disk.append(name, b"")
+            if self.disk.size(name) != file.size:
+                return f"{file.name}: {self.disk.size(name)} of {file.size} bytes are here"
+            if self.digest(name, file.size) != file.digest:
+                self.disk.remove(name)
+                return f"{file.name}: the bytes do not have this digest"
+        for digest in new:
+            self.disk.sync(f"{UPLOADS}/{digest}")
+            self.disk.rename(f"{UPLOADS}/{digest}", f"{BLOBS}/{digest}")
+        if new:
             self.disk.sync_names()
-        else:
-            self.disk.remove(file)
         self.write([frame])
         return ""
 
--- a/tests/test_archive_records.py
+++ b/tests/test_archive_records.py
@@ -174,7 +174,7 @@
                 more = [
                     (v.record, v.have) for k, v in sides[other].items() if bucket_of(k.job, k.task) == bucket
                 ]
-                todo = plan(of, peer, more, {}, {})
+                todo = plan(of, peer, more)
                 for fetch in todo.fetches:
                     live = sides[me].setdefault(fetch.key, Live(Record(fetch.key), {}))
                     assert live.have.get("stdout", 0) == fetch.begin
--- a/tests/test_archive_storage.py
+++ b/tests/test_archive_storage.py
@@ -8,10 +8,11 @@
 from hypothesis import strategies as st
 
 from pearstep.archive.frames import (
-    ArtefactFrame,
     ChunkFrame,
     Damaged,
+    File,
     JobFrame,
+    ManifestFrame,
     RecordFrame,
     encode,
     pack,
@@ -24,6 +25,7 @@
 from .crashdisk import Crash, CrashDisk
 
 KEY = Key("req-1", 0, 1, "i-1", 1)
+EMPTY = hashlib.sha256().hexdigest()
 NEXT = Key("req-1", 0, 2, "i-2", 1)
 
 
@@ -44,10 +46,15 @@
         text[key] += data
         confirmed[key] = text[key]
     body = b"tile" * 50
-    storage.upload("upload-1", 0, body[:77])
-    storage.upload("upload-1", 77, body[77:])
     digest = hashlib.sha256(body).hexdigest()
-    assert storage.publish("upload-1", ArtefactFrame(KEY, "out/tile.bin", digest, len(body), 5)) == ""
+    storage.upload(digest, 0, body[:77])
+    storage.upload(digest, 77, body[77:])
+    files = [
+        File("out/tile.bin", digest, len(body)),
+        File("out/empty", EMPTY, 0),
+        File("out/same", digest, len(body)),
+    ]
+    assert storage.publish(ManifestFrame(KEY, files, 5)) == ""
     confirmed["artefact"] = body
     storage.write([RecordFrame(change(Record(KEY), SEALED, ends={"stdout": len(text[KEY])}))])
     confirmed["sealed"] = True
@@ -74,11 +81,13 @@
             assert data[: len(confirmed[key])] == confirmed[key] and not holes
             # What came beyond it was written, only not confirmed: never anything else.
             assert data == b"" or data.startswith(b"line ")
-    files = again.index.artefacts(KEY)
+    # All files of the manifest or none, and never one whose bytes are not there.
+    manifest = again.index.manifest(KEY)
     if "artefact" in confirmed:
-        assert [again.blob(f.digest, 0, 1 << 20) for f in files] == [confirmed["artefact"]]
-    for file in files:
-        assert again.digest(f"blobs/{file.digest}", file.size) == file.digest
+        assert manifest is not None
+    if manifest is not None:
+        assert [f.name for f in manifest.files] == ["out/empty", "out/same", "out/tile.bin"]
+        assert all(again.digest(f"blobs/{f.digest}", f.size) == f.digest for f in manifest.files)
     assert not [n for n in disk.names() if n.startswith("uploads/")]
     if "sealed" in confirmed:
         assert again.index.live(KEY).record.state == SEALED
@@ -130,10 +139,11 @@
     disk = CrashDisk()
     storage = storage_on(disk, 10_000)
     storage.write([RecordFrame(Record(KEY))])
-    storage.upload("upload-1", 0, b"abc")
-    assert "2 of" not in storage.publish("upload-1", ArtefactFrame(KEY, "a", "0" * 64, 4, 0))
-    assert "digest" in storage.publish("upload-1", ArtefactFrame(KEY, "a", "0" * 64, 3, 0))
-    assert storage.index.artefacts(KEY) == [] and not [n for n in disk.names() if "blobs" in n]
+    wrong = "0" * 64
+    storage.upload(wrong, 0, b"abc")
+    assert "3 of 4" in storage.publish(ManifestFrame(KEY, [File("a", wrong, 4)], 0))
+    assert "digest" in storage.publish(ManifestFrame(KEY, [File("a", wrong, 3)], 0))
+    assert storage.index.manifest(KEY) is None and not [n for n in disk.names() if "blobs" in n]
 
 
 @given(
