Worker, stand-ins, client and command line: a whole cluster on one machine

Change: pearstep/worker is an agent that speaks the worker's side of the protocol (a pure session machine), runs tasks as processes whose output goes to files, and brings logs and files to the archive; pearstep/standin holds a state service and a cloud by the protocol; pearstep/local starts and watches a cluster in a folder; the command line is one group (up, submit, status, cancel, logs, artefacts, node, worker, archive).

--- /dev/null
+++ b/pearstep/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m pearstep``."""
+
+from .cli.main import main
+
+main()
--- /dev/null
+++ b/pearstep/cli/common.py
@@ -0,0 +1,65 @@
+"""What the commands share: the cluster's clients, errors with exit codes, output for people or as JSON."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from ..client.archive import ArchiveAway, ArchiveClient
+from ..client.jobs import Away, JobsClient, Rejected
+from ..jobs.description import DescriptionError
+from ..links.http import Client
+from ..local.layout import Cluster, LayoutError, load
+
+NO, WRONG, AWAY = 1, 2, 3
+
+
+class Clients:
+    """The clients of one cluster."""
+
+    def __init__(self, root: Path) -> None:
+        self.cluster: Cluster = load(root)
+        self.http = Client(50)
+        self.jobs = JobsClient(self.http, list(self.cluster.nodes.values()))
+        self.archive = ArchiveClient(self.http, list(self.cluster.archives.values()))
+
+
+def fail(why: str, code: int) -> None:
+    """One line on standard error, and the exit code."""
+    click.echo(f"pearstep: {why}", err=True)
+    sys.exit(code)
+
+
+def command(work: Callable[..., Coroutine[Any, Any, int | None]]) -> Callable[..., None]:
+    """Run a coroutine as a command; what it raises becomes one line and a code."""
+
+    @click.pass_obj
+    @functools.wraps(work)
+    def run(root: Path, /, **options: Any) -> None:
+        try:
+            sys.exit(asyncio.run(work(root, **options)) or 0)
+        except (LayoutError, DescriptionError) as err:
+            fail(str(err), WRONG)
+        except Rejected as err:
+            fail(str(err), NO)
+        except (Away, ArchiveAway) as err:
+            fail(str(err), AWAY)
+
+    return run
+
+
+output = click.option(
+    "--output", type=click.Choice(["text", "json"]), default="text", help="For people, or JSON for programs."
+)
+
+
+def show(value: Any, output: str, text: str) -> None:
+    """Print facts."""
+    click.echo(msgspec.json.encode(value).decode() if output == "json" else text)
--- /dev/null
+++ b/pearstep/cli/jobs.py
@@ -0,0 +1,103 @@
+"""Commands on jobs: submit, status, cancel."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from ..jobs.description import DescriptionError, parse
+from .common import NO, Clients, command, output, show
+from .logs import follow_job
+
+FINAL = ("done", "cancelled")
+
+
+async def wait(clients: Clients, ref: str) -> str:
+    """The job's final state."""
+    while True:
+        status = await clients.jobs.status(ref)
+        if status is not None and status.state in FINAL:
+            return status.state
+        await asyncio.sleep(0.5)
+
+
+def read(file: str) -> str:
+    """A description's text."""
+    try:
+        return Path(file).read_text()
+    except OSError as err:
+        raise DescriptionError(f"{file}: {err.strerror}") from None
+
+
+async def submit_and_follow(clients: Clients, file: str) -> int:
+    """Submit a job and show all its tasks' output until it is over."""
+    job = parse(read(file), Path(file).parent, file)
+    ref = await clients.jobs.submit(job, clients.archive)
+    click.echo(f"submitted {ref}", err=True)
+    waiting = asyncio.ensure_future(wait(clients, ref))
+    await follow_job(clients, ref, None, "stdout", waiting)
+    state = await waiting
+    click.echo(f"{ref} {state}", err=True)
+    return 0 if state == "done" else NO
+
+
+@click.command()
+@click.argument("file")
+@click.option(
+    "--wait", "waits", is_flag=True, help="Return once the job is over; exit 1 if it was cancelled."
+)
+@click.option("--follow", is_flag=True, help="Show its output until it is over.")
+@click.option("--ref", help="The job's id (req-...); the same id submits once, however often it is repeated.")
+@output
+@command
+async def submit(root: Path, file: str, waits: bool, follow: bool, ref: str | None, output: str) -> int:
+    """Submit the job that FILE describes (YAML, see docs/jobs.md)."""
+    clients = Clients(root)
+    if follow:
+        return await submit_and_follow(clients, file)
+    job = parse(read(file), Path(file).parent, file)
+    ref = await clients.jobs.submit(job, clients.archive, ref)
+    state = await wait(clients, ref) if waits else "queued"
+    show({"ref": ref, "state": state}, output, ref if not waits else f"{ref} {state}")
+    return 0 if state != "cancelled" else NO
+
+
+@click.command()
+@click.argument("ref")
+@output
+@command
+async def status(root: Path, ref: str, output: str) -> int:
+    """Tell the state of the job REF and its attempts."""
+    clients = Clients(root)
+    found = await clients.jobs.status(ref)
+    if found is None:
+        show({"ref": ref, "state": None}, output, f"{ref}: no such job")
+        return NO
+    attempts = await clients.archive.attempts(ref) or []
+    lines = [f"{ref} {found.state}, {found.done} done, {found.running} running"]
+    for a in attempts:
+        how = a["cause"] or a["state"]
+        code = "" if a["code"] is None else f" ({a['code']})"
+        lines.append(f"  task {a['task']} attempt {a['attempt']} on {a['machine']}: {how}{code}")
+    facts = {"ref": ref, "state": found.state, "done": found.done, "running": found.running}
+    show(
+        {**facts, "attempts": attempts},
+        output, "\n".join(lines),
+    )  # fmt: skip
+    return 0
+
+
+@click.command()
+@click.argument("ref")
+@output
+@command
+async def cancel(root: Path, ref: str, output: str) -> int:
+    """Cancel the job REF; tells what it is then (a job that is done stays done)."""
+    found = await Clients(root).jobs.cancel(ref)
+    if found is None:
+        show({"ref": ref, "state": None}, output, f"{ref}: no such job")
+        return NO
+    show({"ref": ref, "state": found.state}, output, f"{ref} {found.state}")
+    return 0 if found.state == "cancelled" else NO
--- /dev/null
+++ b/pearstep/cli/services.py
@@ -0,0 +1,111 @@
+"""Commands that run until they are ended: worker, archive, and the stand-ins of a cluster on one machine."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import yaml
+
+from ..links import logs
+
+
+@click.command()
+@click.option("--config", required=True, metavar="FILE", help="Settings (YAML), see docs/operators/logs.md.")
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+def worker(config: str, check: bool) -> None:
+    """Run a machine's worker until it is killed."""
+    from ..worker.folder import AgentRuns
+    from ..worker.settings import WorkerError, load
+
+    logs.configure()
+    try:
+        settings = load(config)
+        if check:
+            click.echo("settings are valid")
+            return
+        from ..worker.agent import run
+
+        run(settings)
+    except (WorkerError, AgentRuns, TimeoutError) as err:
+        click.echo(f"pearstep: {err}", err=True)
+        sys.exit(2)
+
+
+@click.command()
+@click.option("--config", required=True, metavar="FILE", help="Settings (YAML), see docs/operators/logs.md.")
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+def archive(config: str, check: bool) -> None:
+    """Run an archive node until it is killed."""
+    from ..archive.frames import Damaged
+    from ..archive.settings import ArchiveError, load
+
+    logs.configure()
+    try:
+        settings = load(config)
+        if check:
+            click.echo("settings are valid")
+            return
+        from ..archive.service import run
+
+        run(settings)
+    except (ArchiveError, Damaged) as err:
+        click.echo(f"pearstep: {err}", err=True)
+        sys.exit(2)
+
+
+@click.group(hidden=True)
+def standin() -> None:
+    """The platform's services on one machine; started by `up`."""
+
+
+def _settings(file: str) -> tuple[dict[str, Any], str, int]:
+    raw = yaml.safe_load(Path(file).read_text())
+    host, _, port = raw["bind"].rpartition(":")
+    return raw, host, int(port)
+
+
+@standin.command()
+@click.argument("file")
+def state(file: str) -> None:
+    """A state service."""
+    from ..standin.state import StateService
+
+    logs.configure()
+    raw, host, port = _settings(file)
+
+    async def run() -> None:
+        service = StateService(raw.get("file"), raw.get("rps", 400.0), raw.get("write_rps", 200.0), 16.0, 16)
+        await service.run(host, port)
+
+    asyncio.run(run())
+
+
+@standin.command()
+@click.argument("file")
+def cloud(file: str) -> None:
+    """A cloud."""
+    import msgspec
+
+    from ..standin.cloud import Cloud, MachineKind
+
+    logs.configure()
+    raw, host, port = _settings(file)
+    kinds = msgspec.convert(raw["kinds"], list[MachineKind], strict=False)
+
+    async def run() -> None:
+        one = Cloud(Path(raw["directory"]), kinds, raw["worker"], raw.get("rps", 10.0), raw.get("lag_s", 0.5))
+        loop, running = asyncio.get_running_loop(), asyncio.ensure_future(one.run(host, port))
+        loop.add_signal_handler(signal.SIGTERM, running.cancel)
+        try:
+            await running
+        except asyncio.CancelledError:
+            pass
+        finally:
+            one.end_all()
+
+    asyncio.run(run())
--- /dev/null
+++ b/pearstep/client/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of pearstep: of the controllers and of the archive."""
--- /dev/null
+++ b/pearstep/client/archive.py
@@ -0,0 +1,180 @@
+"""A client of the archive: finds the nodes that keep an attempt, asks another where one does not answer."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..archive import messages as msg
+from ..archive.frames import File
+from ..archive.messages import AppendBatch, Publish, Result
+from ..archive.placement import Layout, bucket_of
+from ..archive.records import Append, Key
+from ..links.http import Client
+
+PART = 1024 * 1024
+
+
+class ArchiveAway(Exception):
+    """No archive node gave an answer; the text says what to look at."""
+
+
+class _Members(msgspec.Struct):
+    epoch: int
+    members: dict[str, str]
+    copies: int
+
+
+class ArchiveClient:
+    """``addrs`` are any nodes of the archive; the others are learnt from them."""
+
+    def __init__(self, client: Client, addrs: list[str]) -> None:
+        self._client = client
+        self._addrs = list(addrs)
+        self.layout: Layout | None = None
+
+    async def refresh(self) -> Layout | None:
+        """Read the list of members from whoever answers; the newest that is known."""
+        known = list(self.layout.members.values()) if self.layout else []
+        for addr in [*self._addrs, *known]:
+            status, data = await self._client.fetch(addr, "GET", msg.MEMBERS, timeout_s=3.0)
+            if status == 200:
+                got = msgspec.json.decode(data, type=_Members)
+                if got.members and (self.layout is None or got.epoch >= self.layout.epoch):
+                    self.layout = Layout(got.epoch, got.members, got.copies)
+                    return self.layout
+        return self.layout
+
+    async def owners(self, job: str, task: int) -> list[str]:
+        """Addresses of the nodes that keep a task's attempts, first the one that takes writes."""
+        layout = self.layout or await self.refresh()
+        if layout is None:
+            return []
+        return [layout.members[name] for name in layout.owners(bucket_of(job, task))]
+
+    async def ask(
+        self, method: str, path: str, body: bytes | None = None, timeout_s: float = 5.0
+    ) -> tuple[int, bytes]:
+        """Ask any node that answers. Raises ArchiveAway."""
+        known = list(self.layout.members.values()) if self.layout else []
+        last: tuple[int, bytes] = (0, b"")
+        for addr in dict.fromkeys([*known, *self._addrs]):
+            last = await self._client.fetch(addr, method, path, body, timeout_s)
+            if last[0] not in (0, 500, 503):
+                return last
+        if last[0]:
+            return last
+        raise ArchiveAway(f"no archive node answers at {', '.join(self._addrs) or 'no address'}")
+
+    # -- writers ---------------------------------------------------------------------------------
+
+    async def append(self, addr: str, items: list[Append]) -> list[Result]:
+        """Send appends to one node; a result for each."""
+        epoch = self.layout.epoch if self.layout else 0
+        status, data = await self._client.fetch(
+            addr, "POST", msg.APPEND, msg.encode(AppendBatch(epoch, items)), 10.0
+        )
+        if status == 200:
+            return msg.results.decode(data)
+        return [Result(status or 503, {}, "no answer", "", 1.0)] * len(items)
+
+    async def publish(self, key: Key, team: str, folder: Path, names: list[str]) -> str:
+        """Upload files and make them visible as the attempt's; '' once they are on every node that keeps the
+        attempt, a reason that will not change, or raises ArchiveAway."""
+        files = [File(name, *digest(folder / name)) for name in names]
+        owners = await self.owners(key.job, key.task)
+        if not owners:
+            raise ArchiveAway("no archive node answers")
+        for addr in owners:
+            for file in files:
+                why = await self._upload(addr, team, folder / file.name, file)
+                if why:
+                    return why
+            status, data = await self._client.fetch(
+                addr, "POST", msg.PUBLISH, msg.encode(Publish(key, team, files)), 30.0
+            )
+            if status in (0, 404, 429, 503):
+                raise ArchiveAway(f"{addr} answers {status}")
+            if status != 200:
+                return _reason(data)
+        return ""
+
+    async def _upload(self, addr: str, team: str, path: Path, file: File) -> str:
+        at = 0
+        with open(path, "rb") as source:
+            while at < file.size:
+                source.seek(at)
+                part = source.read(PART)
+                if not part:
+                    return f"{file.name} became shorter while it was uploaded"
+                query = f"{msg.UPLOAD}?digest={file.digest}&from={at}&team={team}"
+                status, data = await self._client.fetch(addr, "PUT", query, part, 30.0)
+                if status in (0, 429, 503):
+                    raise ArchiveAway(f"{addr} answers {status}")
+                if status != 200:
+                    return _reason(data)
+                answer = msgspec.json.decode(data)
+                if answer.get("known"):
+                    return ""
+                at = answer["have"]
+        return ""
+
+    # -- readers ---------------------------------------------------------------------------------
+
+    async def attempts(self, job: str, task: int | None = None) -> list[dict[str, Any]] | None:
+        """All attempts of a job or of one task; None if there is no such job."""
+        query = f"{msg.ATTEMPTS}?job={job}" + (f"&task={task}" if task is not None else "")
+        status, data = await self.ask("GET", query)
+        if status == 404:
+            return None
+        if status != 200:
+            raise ArchiveAway(f"the archive answers {status}: {_reason(data)}")
+        return msgspec.json.decode(data)
+
+    async def read(self, key: Key, stream: str, begin: int) -> tuple[bytes, list[tuple[int, int]]]:
+        """Bytes of a stream from an offset on, and the holes among them."""
+        status, data = await self.ask(
+            "POST", f"{msg.LOG}?stream={stream}&from={begin}&most={PART}", msg.encode(key)
+        )
+        if status != 200:
+            raise ArchiveAway(f"the archive answers {status}: {_reason(data)}")
+        return msgspec.msgpack.decode(data, type=tuple[bytes, list[tuple[int, int]]])
+
+    async def blob(self, key: Key, content: str, size: int) -> AsyncIterator[bytes]:
+        """The bytes of a published file, part by part, from any node that has them."""
+        addrs = await self.owners(key.job, key.task)
+        addrs += [a for a in (self.layout.members.values() if self.layout else self._addrs) if a not in addrs]
+        at = 0
+        while at < size:
+            part = b""
+            for addr in addrs:
+                status, part = await self._client.fetch(
+                    addr, "GET", f"{msg.BLOB}/{content}?from={at}", timeout_s=10.0
+                )
+                if status == 200 and part:
+                    break
+            else:
+                raise ArchiveAway("no archive node has this file now")
+            at += len(part)
+            yield part
+
+
+def digest(path: Path) -> tuple[str, int]:
+    """SHA-256 and size of a file."""
+    sha, size = hashlib.sha256(), 0
+    with open(path, "rb") as source:
+        while part := source.read(PART):
+            sha.update(part)
+            size += len(part)
+    return sha.hexdigest(), size
+
+
+def _reason(data: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(data).get("error", ""))
+    except (msgspec.MsgspecError, AttributeError):
+        return data[:200].decode(errors="replace")
--- /dev/null
+++ b/pearstep/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Job descriptions: what a user writes, checked before anything is submitted."""
--- /dev/null
+++ b/pearstep/links/logs.py
@@ -0,0 +1,40 @@
+"""Structured logs on standard error: for people, or as JSON with LOG_FORMAT=json. LOG_LEVEL as for a node."""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+
+import structlog
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def configure() -> None:
+    """Set up structlog, and the standard library's logging through it."""
+    level = LEVELS.get(os.environ.get("LOG_LEVEL", "info"), logging.INFO)
+    as_json = os.environ.get("LOG_FORMAT") == "json"
+    shared: list[structlog.types.Processor] = [
+        structlog.stdlib.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.format_exc_info,
+    ]
+    last: structlog.types.Processor = (
+        structlog.processors.JSONRenderer() if as_json else structlog.dev.ConsoleRenderer(colors=False)
+    )
+    structlog.configure(
+        processors=[*shared, last],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(processors=[
+            structlog.stdlib.ProcessorFormatter.remove_processors_meta, last,
+        ], foreign_pre_chain=shared)
+    )  # fmt: skip
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    logging.getLogger("asyncio").setLevel(logging.WARNING)
+    logging.getLogger("tornado").setLevel(logging.ERROR)
--- /dev/null
+++ b/pearstep/worker/agent.py
@@ -0,0 +1,415 @@
+"""The agent: joins the session, the processes, the gangs and the way to the archive."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import structlog
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+from tornado.httputil import HTTPServerRequest
+
+from ..archive.records import Seal
+from ..client.archive import ArchiveAway, ArchiveClient
+from ..core.model import US
+from ..jobs.description import Description, DescriptionError, decode
+from ..links.clocks import now_us, wall_us
+from ..links.http import Answer, Client, Server
+from ..wire import agent as wire
+from ..wire.node import COMMANDS, INSPECT, REPORT, Malformed, error_answer
+from . import mates as mt
+from .folder import Folder, lengths
+from .gangs import GANG, Gangs
+from .outputs import collect
+from .processes import adopt_orphans, reap, sweep
+from .run import GATHERING, HELD, OVER, PAUSED, PREPARING, RUNNING, STOPPING, Run
+from .session import ENDING, Effect, Machine, Session, Timing
+from .settings import WorkerSettings
+from .shipping import Shipping
+from .spool import Spooled
+
+log = structlog.get_logger("pearstep.worker")
+
+POLL_S = 0.025
+MB = 1024 * 1024
+NOTICE = "notice"
+NEVER = "no such job"
+
+
+class Agent:
+    """One machine's worker."""
+
+    def __init__(self, settings: WorkerSettings) -> None:
+        self.settings = s = settings
+        self.place = Folder(s.directory)
+        adopt_orphans()
+        self._finish_former()
+        machine = Machine(s.machine, s.bind, s.type, s.zone, s.spot, s.cpus, s.gpus, s.memory_gb)
+        timing = Timing(
+            int(s.report_s * US), int(s.lease_s * US), int(s.gang_wait_s * US), int(s.gang_peer_s * US)
+        )
+        self.session = Session(machine, timing, s.nodes, self.place.new_session(), now_us(), random.Random())
+        self.client = Client(100, list(s.nodes.values()))
+        self.archive = ArchiveClient(Client(50), s.archives)
+        self.shipping = Shipping(
+            self.archive, int(s.chunk_kb * 1024), int(s.spool_mb * MB), int(s.keep_s * US), self._shipped
+        )
+        self.gangs = Gangs(self.client, self.archive, s.bind)
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.ended: dict[Spooled, Run | None] = {}
+        self.due = asyncio.Event()
+        for folder, note, seal in self._former:
+            # An earlier session's: this one finishes its log, and nobody of that session may write it any
+            # more.
+            spool = Spooled(note.key, self.session.number, note.team, note.cls, note.opened_us)
+            spool.probe = True
+            spool.end(seal)
+            self.ended[spool] = None
+            self.shipping.add(spool, folder)
+        self._meters()
+
+    def _finish_former(self) -> None:
+        """End what a former agent started, and settle how long its logs are. Only then a new session
+        begins."""
+        found = self.place.found()
+        count = sweep(self.place.mark, [n.process for _, n, seal in found if n.process and seal is None])
+        self._former = []
+        for folder, note, seal in found:
+            if seal is None:
+                seal = Seal("killed", None, lengths(folder), wall_us())
+                self.place.ended(folder, seal)
+            self._former.append((folder, note, seal))
+        if found:
+            log.info("took over from a former agent", attempts=len(found), processes_ended=count)
+
+    def _meters(self) -> None:
+        self.registry = CollectorRegistry()
+        shipping = self.shipping
+        for name, text, figure in (
+            ("worker_tasks", "Tasks on this machine that have not ended.",
+             lambda: sum(r.state not in (HELD, OVER) for r in self.runs.values())),
+            ("worker_unconfirmed_bytes", "Log bytes that are nowhere else.", lambda: shipping.unconfirmed),
+            ("worker_confirmed_bytes", "Log bytes that the archive confirmed.", lambda: shipping.confirmed),
+            ("worker_dropped_bytes", "Log bytes given up for want of room.", lambda: shipping.dropped),
+            ("worker_spooled_attempts", "Attempts not whole in the archive.", lambda: len(shipping.spools)),
+            ("worker_session", "Number of the session.", lambda: self.session.number),
+        ):  # fmt: skip
+            Gauge(name, text, registry=self.registry).set_function(figure)
+
+    # -- running ---------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Until the process is killed."""
+        host, _, port = self.settings.bind.rpartition(":")
+        Server(self.handle).listen(host, int(port))
+        log.info(
+            "worker", machine=self.settings.machine, bind=self.settings.bind, session=self.session.number
+        )
+        await asyncio.gather(
+            self._forever(self._report, 0.0),
+            self._forever(self._poll, POLL_S),
+            self._forever(self.shipping.step, self.settings.ship_ms / 1000),
+            self._forever(self._tell_mates, self.settings.gang_peer_s / 5),
+        )
+
+    async def _forever(self, step: Callable[[], Awaitable[None]], pause_s: float) -> None:
+        while True:
+            try:
+                await step()
+            except Exception:
+                log.exception("failed", loop=step.__name__)
+                await asyncio.sleep(0.2)
+            await asyncio.sleep(pause_s)
+
+    async def handle(self, request: HTTPServerRequest) -> Answer:
+        """Commands, questions, and what the mates of a gang tell."""
+        if request.path == COMMANDS and request.method == "POST":
+            try:
+                commands = wire.read_commands(request.body)
+            except Malformed as err:
+                return 400, error_answer(str(err)), {}
+            status, effects = self.session.commands(commands, now_us())
+            self._carry_out(effects)
+            return status, wire.report_body(self.session.snapshot(now_us())), {}
+        if request.path == INSPECT:
+            return 200, wire.report_body(self.session.snapshot(now_us())), {}
+        if request.path == GANG and request.method == "POST":
+            try:
+                return 200, self.gangs.hear(request.body, now_us()), {}
+            except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+                return 400, error_answer(str(err)), {}
+        if request.path == "/metrics":
+            return 200, generate_latest(self.registry), {"Content-Type": "text/plain; version=0.0.4"}
+        return 404, error_answer("no such path"), {}
+
+    async def _report(self) -> None:
+        now = now_us()
+        todo = self.session.report(now)
+        if todo is None:
+            self.due.clear()
+            wait_s = min(max((self.session.wake_us() - now) / 1e6, 0.01), 0.5)
+            try:
+                await asyncio.wait_for(self.due.wait(), wait_s)
+            except TimeoutError:
+                pass
+            return
+        addr, report = todo
+        status, body = await self.client.fetch(addr, "POST", REPORT, wire.report_body(report), 4.0)
+        answer = wire.read_answer(body)
+        self._carry_out(self.session.answered(status, answer, now_us()))
+
+    async def _poll(self) -> None:
+        """What has happened to processes and gangs, and what time brings."""
+        now = now_us()
+        self._carry_out(self.session.tick(now))
+        for run in list(self.runs.values()):
+            if run.mates is not None and run.state in (GATHERING, RUNNING, STOPPING, PAUSED):
+                self._gang_step(run, now)
+            if run.state in (RUNNING, STOPPING) and run.poll():
+                self._process_ended(run)
+            elif run.state == HELD and (now >= run.held_until_us or self._safe(run)):
+                self._tell_end(run)
+        reap()
+        if self.session.state == ENDING and all(
+            r.process is None or r.end is not None for r in self.runs.values()
+        ):
+            for run in self.runs.values():
+                if run.state != OVER:
+                    run.move(OVER)
+            self.runs.clear()
+            self.session.all_gone(self.place.new_session(), now_us())
+            log.warning("new session: the lease was over", session=self.session.number)
+        self._look_for_notice()
+        if self.session.changed:
+            self.due.set()
+
+    def _look_for_notice(self) -> None:
+        path = self.place.root / NOTICE
+        if self.session.notice_us is None and path.exists():
+            try:
+                self.session.notice(now_us() + int(float(path.read_text() or 0) * US))
+            except ValueError:
+                log.warning("unreadable notice", file=str(path))
+
+    # -- effects ---------------------------------------------------------------------------------
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            key = (effect.task, effect.attempt)
+            run = self.runs.get(key)
+            if effect.what == "fetch":
+                job, _, task = effect.task.rpartition("/")
+                run = self.runs[key] = Run(job, int(task), effect.attempt, self.session.number)
+                asyncio.ensure_future(self._fetch(run))
+            elif run is None:
+                continue
+            elif effect.what == "gather":
+                assert run.description is not None
+                run.mates = mt.Mates(run.description.tasks, run.task, self.session.timing.gang_peer_us)
+                run.move(GATHERING)
+                self.gangs.add(run)
+            elif effect.what == "start":
+                self._start(run)
+            elif effect.what == "save":
+                self._save(run)
+            elif effect.what == "kill":
+                self._kill(run)
+            elif effect.what == "forget":
+                if run.state == OVER:
+                    del self.runs[key]
+                else:
+                    run.abandoned = True
+        if effects:
+            self.due.set()
+
+    async def _fetch(self, run: Run) -> None:
+        """The description, from any archive node, until there is an answer."""
+        pause_s = 0.1
+        while run.state == PREPARING and not run.abandoned:
+            try:
+                job, done = await self._describe(run)
+            except ArchiveAway as err:
+                log.info("description not to be had", job=run.job, why=str(err))
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+                pause_s = min(pause_s * 2, 5.0)
+                continue
+            if run.state != PREPARING or run.abandoned:
+                return
+            run.description = job
+            need = None if job is None else (job.cpus, job.gpus, job.memory_gb)
+            gang = job is not None and job.kind == "gang" and job.tasks > 1
+            saves = job is not None and job.run.save is not None
+            save_us = 0 if job is None else int(job.save_s * US)
+            effects = self.session.described(run.key, need, gang, saves, save_us, done, now_us())
+            if not effects:
+                self._forget_unstarted(run)
+            self._carry_out(effects)
+            self.due.set()
+            return
+
+    async def _describe(self, run: Run) -> tuple[Description | None, bool]:
+        status, body = await self.archive.ask("GET", f"/v1/jobs/{run.job}")
+        if status == 404:
+            return None, False
+        if status != 200:
+            raise ArchiveAway(f"the archive answers {status}")
+        try:
+            job = decode(body)
+        except DescriptionError as err:
+            log.warning("description cannot be used", job=run.job, why=str(err))
+            return None, False
+        if run.task >= job.tasks:
+            return None, False
+        if run.attempt <= 1:
+            return job, False
+        # The result of an earlier attempt is kept: a gang is done as soon as one of its tasks is.
+        known = await self.archive.attempts(run.job, None if job.kind == "gang" else run.task)
+        return job, any(a["cause"] == "done" for a in known or ())
+
+    def _forget_unstarted(self, run: Run) -> None:
+        run.move(OVER)
+
+    def _start(self, run: Run) -> None:
+        spool = run.start(self.place, self.settings.machine, self.settings.checkpoints)
+        assert run.folder is not None
+        run.move(RUNNING)
+        if run.mates is not None and run.mates.state == mt.READY:
+            run.mates.move(mt.RUNNING)
+        self.ended[spool] = run
+        self.shipping.add(spool, run.folder)
+
+    def _save(self, run: Run) -> None:
+        if run.state != RUNNING and run.state != PAUSED:
+            return
+        assert run.description is not None and run.description.run.save is not None
+        run.saving = True
+        if run.mates is not None:
+            run.mates.halted_us = run.mates.halted_us or now_us()
+            if run.mates.state == mt.RUNNING:
+                run.mates.move(mt.SAVING)
+        if run.state == RUNNING:
+            run.move(STOPPING)
+            if run.process is not None:
+                run.process.send(run.description.run.save.signal)
+
+    def _kill(self, run: Run) -> None:
+        if run.state in (PREPARING, GATHERING):
+            self.gangs.drop(run, mt.GONE)
+            self._forget_unstarted(run)
+            return
+        run.killed = True
+        if run.state in (RUNNING, STOPPING) and run.process is not None and run.end is None:
+            if run.state == RUNNING:
+                run.move(STOPPING)
+            run.process.send("KILL")
+        elif run.state == PAUSED:
+            self._finalize(run, "stopped", False, "killed", mt.GONE)
+
+    # -- ends ------------------------------------------------------------------------------------
+
+    def _process_ended(self, run: Run) -> None:
+        why, saved, cause = run.outcome()
+        if run.mates is not None and not run.killed:
+            if cause == "done" and run.mates.state in (mt.RUNNING, mt.SAVING):
+                run.mates.move(mt.FINISHED)
+                run.move(PAUSED)
+                return
+            if cause == "saved":
+                run.mates.move(mt.SAVED)
+                run.move(PAUSED)
+                return
+        self._finalize(run, why, saved, cause, mt.GONE)
+
+    def _gang_step(self, run: Run, now: int) -> None:
+        assert run.mates is not None
+        verdict = run.mates.decide(now)
+        if verdict is None:
+            return
+        if verdict == "start":
+            if run.state == GATHERING:
+                self._carry_out(self.session.gathered(run.key))
+        elif verdict == "done" and run.state == PAUSED:
+            self._finalize(run, "done", None, "done", mt.DONE)
+        elif verdict == "kept" and run.state == PAUSED:
+            self._finalize(run, "stopped", True, "saved", mt.KEPT)
+        elif verdict == "mates_gone":
+            if run.state == PAUSED:
+                self._finalize(run, "peers", None, "mates gone", mt.GONE)
+            elif run.state in (RUNNING, STOPPING) and run.why is None and run.process is not None:
+                run.why = "peers"
+                run.killed = True
+                run.process.send("KILL")
+
+    def _finalize(self, run: Run, why: str, saved: bool | None, cause: str, phase: str) -> None:
+        if run.why == "peers":
+            why, saved, cause = "peers", None, "mates gone"
+        run.why, run.saved = why, saved
+        self.gangs.drop(run, phase)
+        run.seal(self.place, cause)
+        run.move(HELD)
+        hold = 0 if cause in ("killed", "mates gone") or run.abandoned else self.settings.hold_s
+        run.held_until_us = now_us() + int(hold * US)
+        if cause == "done" and run.description is not None and run.description.run.outputs:
+            run.published = False
+            asyncio.ensure_future(self._publish(run))
+        if run.abandoned or hold == 0:
+            self._tell_end(run)
+
+    def _safe(self, run: Run) -> bool:
+        return run.published and run.spool not in self.shipping.spools
+
+    def _tell_end(self, run: Run) -> None:
+        run.move(OVER)
+        if not run.abandoned and run.session == self.session.number:
+            self.session.exited(run.key, run.why or "error", run.saved)
+        if run.key not in self.session.tasks and self.runs.get(run.key) is run:
+            del self.runs[run.key]
+        self._clean(run)
+        self.due.set()
+
+    async def _publish(self, run: Run) -> None:
+        assert run.description is not None and run.folder is not None and run.spool is not None
+        root = run.folder / "task"
+        names, left = await asyncio.to_thread(collect, root, run.description.run.outputs)
+        for name, why in left:
+            log.warning("output left out", attempt=run.spool.key.text(), file=name, why=why)
+        pause_s = 0.2
+        while names:
+            try:
+                why = await self.archive.publish(run.spool.key, run.description.team, root, names)
+                if why:
+                    log.warning("outputs refused", attempt=run.spool.key.text(), why=why)
+                break
+            except (ArchiveAway, OSError) as err:
+                log.info("outputs wait", attempt=run.spool.key.text(), why=str(err))
+                await asyncio.sleep(pause_s)
+                pause_s = min(pause_s * 2, 10.0)
+        run.published = True
+        self._clean(run)
+
+    def _shipped(self, spool: Spooled) -> None:
+        """The archive has all of an attempt, or takes no more of it."""
+        run = self.ended.pop(spool, None)
+        if run is None:
+            self.place.remove(self.place.runs / str(spool.key.start))
+        else:
+            self._clean(run)
+
+    def _clean(self, run: Run) -> None:
+        if (
+            run.state == OVER
+            and run.published
+            and run.folder is not None
+            and run.spool not in self.shipping.spools
+        ):
+            self.place.remove(run.folder)
+
+    async def _tell_mates(self) -> None:
+        await self.gangs.tell(now_us())
+
+
+def run(settings: WorkerSettings) -> None:
+    """Start an agent; returns when the process is asked to end."""
+    asyncio.run(Agent(settings).run())
--- /dev/null
+++ b/pearstep/worker/settings.py
@@ -0,0 +1,61 @@
+"""A worker's settings: YAML, checked at start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import yaml
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+Address = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+
+
+class WorkerError(Exception):
+    """A setting is missing or wrong; the text is one line for the operator."""
+
+
+class WorkerSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """One machine's agent. ``nodes`` are the controllers by name, ``archives`` any archive nodes.
+
+    ``ship_ms`` is how long written bytes may lie before they are sent, ``spool_mb`` how many unconfirmed
+    bytes are kept while the archive takes none, ``hold_s`` how long an ended task waits for its log to be
+    safe before its end is reported."""
+
+    machine: Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$")]
+    bind: Address
+    directory: str
+    nodes: dict[str, Address]
+    type: str
+    zone: str = ""
+    spot: bool = False
+    cpus: Positive = 1.0
+    gpus: NotNegative = 0.0
+    memory_gb: Positive = 1.0
+    archives: list[Address] = []
+    checkpoints: str = ""
+    report_s: Positive = 2.0
+    lease_s: Positive = 15.0
+    gang_wait_s: Positive = 30.0
+    gang_peer_s: Positive = 4.0
+    ship_ms: Positive = 200.0
+    chunk_kb: Annotated[float, Meta(gt=0, le=1024)] = 256.0
+    spool_mb: Positive = 512.0
+    hold_s: NotNegative = 5.0
+    keep_s: Positive = 5.0
+
+
+def load(file: str) -> WorkerSettings:
+    """Read and check a file; raises WorkerError with one line."""
+    try:
+        raw = yaml.safe_load(Path(file).read_text()) or {}
+        settings = msgspec.convert(raw, WorkerSettings, strict=False)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as err:
+        raise WorkerError(f"{file}: {' '.join(str(err).split())}") from None
+    if not settings.nodes:
+        raise WorkerError(f"{file}: `nodes` names no controller")
+    return settings
