--- a/pearstep/standin/cloud.py
+++ b/pearstep/standin/cloud.py
@@ -119,7 +119,11 @@
         folder = self.root / machine.name
         folder.mkdir(parents=True, exist_ok=True)
         config = folder / "worker.yaml"
-        own = {"machine": machine.name, "bind": machine.addr, "directory": str(folder / "agent")}
+        own: dict[str, Any] = {
+            "machine": machine.name,
+            "bind": machine.addr,
+            "directory": str(folder / "agent"),
+        }
         own |= {"type": kind.name, "zone": machine.zone, "spot": machine.spot}
         room = {"cpus": kind.cpus, "gpus": kind.gpus, "memory_gb": kind.memory_gb}
         config.write_text(yaml.safe_dump({**self.worker, **own, **room}))
--- a/pearstep/worker/mates.py
+++ b/pearstep/worker/mates.py
@@ -23,7 +23,7 @@
     {
         READY: (RUNNING, GONE),
         RUNNING: (FINISHED, SAVING, GONE),
-        FINISHED: (DONE, SAVED, GONE),
+        FINISHED: (DONE, KEPT, GONE),
         SAVING: (SAVED, FINISHED, GONE),
         SAVED: (KEPT, GONE),
         DONE: (),
@@ -79,6 +79,8 @@
             return None
         if self.state == FINISHED and (DONE in others or all(p in (FINISHED, DONE) for p in others)):
             return "done"
+        if self.state == FINISHED and KEPT in others:
+            return "kept"  # the gang was stopped in order just before its end; it goes on from there
         if self.state == SAVED and (KEPT in others or all(p in (SAVED, KEPT, FINISHED) for p in others)):
             return "kept"
         if GONE in others or not self._fresh(now_us):
