--- a/pearstep/archive/frames.py
+++ b/pearstep/archive/frames.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import struct
+import threading
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -59,8 +60,18 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
-_compress = zstandard.ZstdCompressor(level=3)
-_expand = zstandard.ZstdDecompressor()
+
+
+class _Tools(threading.local):
+    """Compressors of this thread. They are not made for use by two threads at once: an agent ended with a
+    segmentation fault when two batches were built at the same time."""
+
+    def __init__(self) -> None:
+        self.compress = zstandard.ZstdCompressor(level=3).compress
+        self.expand = zstandard.ZstdDecompressor().decompress
+
+
+_tools = _Tools()
 
 
 class Damaged(Exception):
@@ -104,7 +115,7 @@
 
 def pack(stream: str, offset: int, data: bytes) -> Chunk:
     """A chunk of plain bytes, compressed and with its checksum."""
-    return Chunk(stream, offset, len(data), xxhash.xxh3_64_intdigest(data), _compress.compress(data))
+    return Chunk(stream, offset, len(data), xxhash.xxh3_64_intdigest(data), _tools.compress(data))
 
 
 def unpack(chunk: Chunk) -> bytes:
@@ -112,7 +123,7 @@
     if chunk.hole:
         return bytes(chunk.length)
     try:
-        data = _expand.decompress(chunk.data, max_output_size=MOST_CHUNK)
+        data = _tools.expand(chunk.data, max_output_size=MOST_CHUNK)
     except zstandard.ZstdError as err:
         raise Damaged(f"chunk at {chunk.offset} cannot be expanded: {err}") from None
     if len(data) != chunk.length or xxhash.xxh3_64_intdigest(data) != chunk.digest:
--- a/tests/test_archive_storage.py
+++ b/tests/test_archive_storage.py
@@ -1,6 +1,7 @@
 """The archive's storage, ended at every write, sync and rename; its frames and its index."""
 
 import hashlib
+from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import pytest
@@ -180,3 +181,12 @@
     except Damaged:
         pass
     assert unpack(Chunk("stdout", 0, 5, hole=True)) == bytes(5)
+
+
+def test_chunks_are_made_in_many_threads_at_once():
+    """One compressor for all threads ended an agent with a segmentation fault."""
+    pieces = [bytes([i]) * 200_000 + bytes(range(256)) * 50 for i in range(16)]
+    with ThreadPoolExecutor(8) as pool:
+        for _ in range(5):
+            chunks = list(pool.map(lambda p: pack("stdout", 0, p), pieces))
+            assert list(pool.map(unpack, chunks)) == pieces
