--- a/measurements/harness.py
+++ b/measurements/harness.py
@@ -111,18 +111,22 @@
 
 def archive_node(root: Path, name: str, state: str, **more: object) -> Service:
     """An archive node's process."""
-    base = {"name": name, "bind": f"127.0.0.1:{free_port()}", "directory": str(root / name / "data"),
-            "state": state, "copies": 2, "durable_on": 2, "lease_s": 2.0, "patience_s": 1.0, "reserve_mb": 0,
-            "repair_pause_s": 0.5, "upkeep_pause_s": 0.3, "state_rps": 100, "state_write_rps": 50}  # fmt: skip
+    base: dict[str, object] = {
+        "name": name, "bind": f"127.0.0.1:{free_port()}", "directory": str(root / name / "data"),
+        "state": state, "copies": 2, "durable_on": 2, "lease_s": 2.0, "patience_s": 1.0,
+        "reserve_mb": 0, "repair_pause_s": 0.5, "upkeep_pause_s": 0.3, "state_rps": 100,
+        "state_write_rps": 50,
+    }  # fmt: skip
     return Service("archive", root / name, {**base, **more})
 
 
 def agent(root: Path, name: str, boss: str, archives: list[str], **more: object) -> Service:
     """An agent's process."""
-    base = {"machine": name, "bind": f"127.0.0.1:{free_port()}", "directory": str(root / name / "agent"),
-            "nodes": {"boss": boss}, "type": "any", "cpus": 64, "memory_gb": 64,
-            "archives": archives,
-            "report_s": 0.5, "lease_s": 20, "ship_ms": 50, "chunk_kb": 64, "keep_s": 1.0}  # fmt: skip
+    base: dict[str, object] = {
+        "machine": name, "bind": f"127.0.0.1:{free_port()}", "directory": str(root / name / "agent"),
+        "nodes": {"boss": boss}, "type": "any", "cpus": 64, "memory_gb": 64, "archives": archives,
+        "report_s": 0.5, "lease_s": 20, "ship_ms": 50, "chunk_kb": 64, "keep_s": 1.0,
+    }  # fmt: skip
     return Service("worker", root / name, {**base, **more})
 
 
--- a/pearstep/archive/disk.py
+++ b/pearstep/archive/disk.py
@@ -7,6 +7,9 @@
 from pathlib import Path
 from typing import Protocol
 
+# Parts of one write (IOV_MAX on Linux is 1024).
+MOST_PARTS = 512
+
 
 class Disk(Protocol):
     """A directory of files by name. Nothing is durable before its ``sync``; a rename or a new name not before
@@ -21,8 +24,8 @@
     def read(self, name: str, offset: int, length: int) -> bytes:
         """Up to ``length`` bytes."""
 
-    def append(self, name: str, data: bytes) -> None:
-        """Write at the end; the file is made if need be."""
+    def append(self, name: str, *parts: bytes) -> None:
+        """Write at the end, one part after the other; the file is made if need be."""
 
     def sync(self, name: str) -> None:
         """Make a file's bytes durable."""
@@ -68,16 +71,21 @@
             file.seek(offset)
             return file.read(length)
 
-    def append(self, name: str, data: bytes) -> None:
+    def append(self, name: str, *parts: bytes) -> None:
         """Write all of it at the end."""
         fd = self._open.get(name)
         if fd is None:
             path = self.root / name
             path.parent.mkdir(exist_ok=True)
             fd = self._open[name] = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o640)
-        view = memoryview(data)
-        while view:
-            view = view[os.write(fd, view) :]
+        for begin in range(0, len(parts), MOST_PARTS):
+            left = [memoryview(p) for p in parts[begin : begin + MOST_PARTS] if p]
+            while left:
+                count = os.writev(fd, left)
+                while left and count >= len(left[0]):
+                    count -= len(left.pop(0))
+                if left:
+                    left[0] = left[0][count:]
 
     def sync(self, name: str) -> None:
         """fdatasync."""
--- a/pearstep/archive/frames.py
+++ b/pearstep/archive/frames.py
@@ -78,10 +78,10 @@
     """Bytes that are not what was written; the text says where."""
 
 
-def encode(frame: Frame) -> bytes:
-    """A frame as it stands in a segment."""
+def encode(frame: Frame) -> tuple[bytes, bytes]:
+    """A frame as it stands in a segment: head and payload."""
     payload = _encoder.encode(frame)
-    return HEAD.pack(MAGIC, len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
+    return HEAD.pack(MAGIC, len(payload), xxhash.xxh3_64_intdigest(payload)), payload
 
 
 def decode(payload: bytes) -> Frame:
--- a/pearstep/archive/storage.py
+++ b/pearstep/archive/storage.py
@@ -82,17 +82,18 @@
             self.segment, self.position = self.segment + 1, 0
         name, begin = segment_name(self.segment), self.position
         placed = []
-        parts = []
+        parts: list[bytes] = []
         at = begin
         for frame in frames:
-            raw = encode(frame)
-            placed.append((self.segment, at, len(raw), frame))
-            parts.append(raw)
-            at += len(raw)
+            head, payload = encode(frame)
+            size = len(head) + len(payload)
+            placed.append((self.segment, at, size, frame))
+            parts += [head, payload]
+            at += size
         if not parts:
             return
         try:
-            self.disk.append(name, b"".join(parts))
+            self.disk.append(name, *parts)
             self.disk.sync(name)
             if begin == 0:
                 self.disk.sync_names()
--- a/tests/crashdisk.py
+++ b/tests/crashdisk.py
@@ -32,7 +32,8 @@
     def read(self, name, offset, length):
         return bytes(self.files[name][offset : offset + length])
 
-    def append(self, name, data):
+    def append(self, name, *parts):
+        data = b"".join(parts)
         if len(data) > self.room:
             self.files.setdefault(name, bytearray()).extend(data[: self.room])
             raise OSError(28, "No space left on device")
--- a/tests/test_archive_storage.py
+++ b/tests/test_archive_storage.py
@@ -114,11 +114,11 @@
     storage = storage_on(disk, 10_000)
     storage.write([RecordFrame(Record(KEY)), ChunkFrame(KEY, pack("stdout", 0, b"abc"))])
     whole = disk.size(segment_name(1))
-    disk.append(segment_name(1), encode(ChunkFrame(KEY, pack("stdout", 3, b"def")))[:-2])
+    disk.append(segment_name(1), b"".join(encode(ChunkFrame(KEY, pack("stdout", 3, b"def"))))[:-2])
     again = storage_on(disk)
     assert again.cut > 0 and disk.size(segment_name(1)) == whole
     assert again.read(KEY, "stdout", 0, 10)[0] == b"abc"
-    disk.append(segment_name(2), encode(JobFrame("req-1", b"{}")))
+    disk.append(segment_name(2), *encode(JobFrame("req-1", b"{}")))
     disk.files[segment_name(1)][20] ^= 1
     with pytest.raises(Damaged, match="damaged at 0"):
         storage_on(disk)
