--- a/measurements/archive_kills.py
+++ b/measurements/archive_kills.py
@@ -31,6 +31,8 @@
 from .harness import Boss, Service, agent, archive_node, say, state_service
 
 MOST_WRITE = 8192
+# Rounds under way at once: what is killed in one is killed for all of them.
+LANES = 3
 WRITER = """
 import hashlib, os, random, sys, time
 job, task, attempt, truth, total, code = sys.argv[1:7]
@@ -75,6 +77,8 @@
         self.wrong: list[str] = []
         self.machine = 0
         self.gone: set[str] = set()
+        self.used: dict[int, set[str]] = {}
+        self.striking = asyncio.Lock()
 
     async def begin(self) -> None:
         """Start everything and wait until writes are taken."""
@@ -126,9 +130,11 @@
             name = self.rng.choice(list(self.agents))
             self.boss.start(name, f"{job}/{task}", 1)
             waiting.add((name, f"{job}/{task}", 1))
-        for _ in range(self.rng.randint(1, 3)):
+        used = self.used[number] = {name for name, _, _ in waiting}
+        for i in range(self.rng.randint(1, 3)):
             await asyncio.sleep(self.rng.random() * 0.5)
-            await self._strike(number)
+            async with self.striking:
+                await self._strike(number % 8 == 7 and i == 0)
         retried: set[tuple[str, int]] = set()
         until = time.monotonic() + 40
         while True:
@@ -146,6 +152,7 @@
                         name = self.rng.choice(list(self.agents))
                         self.boss.start(name, task_name, attempt + 1)
                         waiting.add((name, task_name, attempt + 1))
+                        used.add(name)
             if not waiting:
                 break
             if time.monotonic() > until:
@@ -153,7 +160,15 @@
                 return
             await asyncio.sleep(0.05)
         await self._until(lambda: self._settled(job), f"round {number}: not sealed", 30)
-        await self._compare(job, number)
+        for _ in range(100):
+            try:
+                await self._compare(job, number)
+                break
+            except ArchiveAway:
+                # Another round's kill: the nodes are asked again, from the beginning.
+                await asyncio.sleep(0.2)
+        else:
+            self.wrong.append(f"round {number}: could not be read")
         self.count["rounds"] += 1
 
     async def _put(self, job: str, body: bytes) -> bool:
@@ -172,9 +187,9 @@
                 return
             await asyncio.sleep(0.1)
 
-    async def _strike(self, number: int) -> None:
+    async def _strike(self, for_good: bool) -> None:
         what = self.rng.choice(["agent", "agent", "archive", "both", "nothing"])
-        if number % 8 == 7 and not self.gone_in(number):
+        if for_good:
             name = self.rng.choice(list(self.agents))
             lost = self.agents.pop(name)
             lost.kill()
@@ -183,7 +198,6 @@
             place.close()
             shutil.rmtree(lost.folder)
             self.gone.add(name)
-            self.last_gone = number
             self.count["machines_gone"] += 1
             self.new_machine()
             return
@@ -200,12 +214,6 @@
         for service in struck:
             service.start()
 
-    last_gone = -1
-
-    def gone_in(self, number: int) -> bool:
-        """Whether a machine was taken away for good in this round."""
-        return self.last_gone == number
-
     async def _settled(self, job: str) -> bool:
         found = await self.client.attempts(job) or []
         return all(
@@ -216,12 +224,16 @@
         """Every byte of every attempt, and every attempt that the tasks noted."""
         found = await self.client.attempts(job) or []
         seen = {}
+        texts = {}
+        for a in found:
+            key = Key(a["job"], a["task"], a["attempt"], a["machine"], a["start"])
+            texts[key] = [await self._read(key, name) for name in ("stdout", "stderr")]
         for a in found:
             key = Key(a["job"], a["task"], a["attempt"], a["machine"], a["start"])
             self.count["attempts"] += 1
             self.count["sealed" if a["state"] == "sealed" else "lost"] += 1
             for stream, name in ((1, "stdout"), (2, "stderr")):
-                data = await self._read(key, name)
+                data = texts[key][stream - 1]
                 note = self.truth / f"{a['job']}.{a['task']}.{a['attempt']}.{stream}"
                 noted = int(note.read_bytes() or b"0") if note.exists() else 0
                 seen[note.name] = True
@@ -234,13 +246,10 @@
                     )
                 elif a["state"] == "lost" and len(data) > noted + MOST_WRITE:
                     self.wrong.append(f"round {number}: {key.text()} {name}: more than was written")
-        for note in self.truth.iterdir():
-            if (
-                note.name.startswith(f"{job}.")
-                and note.name not in seen
-                and note.stat().st_size
-                and not self.gone_in(number)
-            ):
+        if self.used[number] & self.gone:
+            return  # what was never confirmed went with the machine
+        for note in self.truth.glob(f"{job}.*"):
+            if note.name not in seen and note.stat().st_size:
                 self.wrong.append(f"round {number}: {note.name}: no attempt in the archive")
 
     async def _read(self, key: Key, stream: str) -> bytes:
@@ -270,10 +279,15 @@
     kills = Kills(root, seed)
     try:
         await kills.begin()
-        for number in range(1, rounds + 1):
-            await kills.round(number)
-            if len(kills.wrong) > 5:
-                break
+        numbers = iter(range(1, rounds + 1))
+
+        async def lane() -> None:
+            for number in numbers:
+                await kills.round(number)
+                if len(kills.wrong) > 5:
+                    return
+
+        await asyncio.gather(*(lane() for _ in range(LANES)))
     finally:
         kills.end()
         if not kills.wrong:
--- a/pearstep/archive/reading.py
+++ b/pearstep/archive/reading.py
@@ -72,6 +72,20 @@
     )
 
 
+class Found(msgspec.Struct):
+    """What the nodes that answered know of a job's attempts. ``certain``: enough of them answered that each
+    attempt's copies cannot all be with the ``silent`` ones, and this node knows who the others are. A node
+    that has just started knows nobody: it must not say that something is not there."""
+
+    attempts: list[AttemptFacts]
+    certain: bool
+    silent: list[str]
+
+
+class Unread(Exception):
+    """The node that has the bytes did not give them: this is not the end of the stream."""
+
+
 class Reading:
     """Reads here and, where others may know more, there."""
 
@@ -88,43 +102,56 @@
             for live in index.find(job, task)
         ]
 
-    async def everywhere(self, job: str, task: int | None) -> list[AttemptFacts]:
+    def certain(self, silent: int) -> bool:
+        """Whether nothing can be hidden from this node while so many peers do not answer."""
+        return self.membership.takes and silent < self.membership.layout.copies
+
+    async def everywhere(self, job: str, task: int | None) -> Found:
         """Attempts as told by the node that has the most of each, ordered by task and attempt."""
         me = self.membership
         query = f"{msg.ATTEMPTS}?job={job}&local=1" + (f"&task={task}" if task is not None else "")
-        peers = [addr for name, addr in me.layout.members.items() if name != me.name]
-        answers = await asyncio.gather(*(self.client.fetch(a, "GET", query, timeout_s=5.0) for a in peers))
+        peers = {name: addr for name, addr in me.layout.members.items() if name != me.name}
+        answers = await asyncio.gather(
+            *(self.client.fetch(a, "GET", query, timeout_s=5.0) for a in peers.values())
+        )
         best = {f.key: f for f in self.here(job, task)}
-        for status, data in answers:
+        silent = []
+        for name, (status, data) in zip(peers, answers, strict=True):
             if status != 200:
+                silent.append(name)
                 continue
             for fact in msgspec.json.decode(data, type=list[AttemptFacts]):
                 mine = best.get(fact.key)
                 if mine is None or _more(fact, mine):
                     best[fact.key] = fact
-        return sorted(best.values(), key=lambda f: (f.task, f.attempt, f.opened_us))
+        found = sorted(best.values(), key=lambda f: (f.task, f.attempt, f.opened_us))
+        return Found(found, self.certain(len(silent)), silent)
 
     async def log(
         self, key: Key, stream: str, begin: int, most: int, local: bool
-    ) -> tuple[bytes, list[tuple[int, int]], AttemptFacts] | None:
-        """Bytes of a stream, the holes among them, and what is known of the attempt; None if nobody knows
-        it. Raises Damaged."""
+    ) -> tuple[bytes, list[tuple[int, int]]] | None:
+        """Bytes of a stream and the holes among them; None if nobody knows the attempt. Raises Damaged, and
+        Unread if whoever may know does not answer."""
         most = min(most, MOST_READ)
-        known = self.here(key.job, key.task) if local else await self.everywhere(key.job, key.task)
-        fact = next((f for f in known if f.key == key), None)
+        if local:
+            facts_, certain = self.here(key.job, key.task), True
+        else:
+            found = await self.everywhere(key.job, key.task)
+            facts_, certain = found.attempts, found.certain
+        fact = next((f for f in facts_ if f.key == key), None)
         if fact is None:
+            if not certain:
+                raise Unread("not enough archive nodes answer to be certain")
             return None
         if fact.node in ("", self.membership.name):
-            data, holes = await self.writer.call(self.writer.storage.read, key, stream, begin, most)
-            return data, holes, fact
+            return await self.writer.call(self.writer.storage.read, key, stream, begin, most)
         addr = self.membership.layout.members.get(fact.node, "")
         status, body = await self.client.fetch(
             addr, "POST", f"{msg.LOG}?stream={stream}&from={begin}&most={most}&local=1", msg.encode(key), 10.0
         )
         if status != 200:
-            return b"", [], fact
-        data, holes = msgspec.msgpack.decode(body, type=tuple[bytes, list[tuple[int, int]]])
-        return data, holes, fact
+            raise Unread(f"{fact.node}, which has this log, answers {status or 'nothing'}")
+        return msgspec.msgpack.decode(body, type=tuple[bytes, list[tuple[int, int]]])
 
     def bucket(self, bucket: int) -> msg.Inventory:
         """All that is here of a bucket."""
--- a/pearstep/archive/service.py
+++ b/pearstep/archive/service.py
@@ -28,7 +28,7 @@
 from .index import Index
 from .members import Joining, Membership
 from .placement import bucket_of
-from .reading import Reading
+from .reading import Reading, Unread
 from .records import STREAMS, Key
 from .repair import Pace, digests
 from .retention import Room, expire
@@ -187,6 +187,8 @@
             return refusal(err.status, err.why, err.retry_s)
         except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as err:
             return refusal(400, f"malformed: {err}")
+        except Unread as err:
+            return refusal(503, str(err), RETRY_S)
         except Damaged as err:
             log.error("damaged", why=str(err))
             return refusal(500, str(err))
@@ -219,11 +221,12 @@
         job, task = _arg(request, "job"), _arg(request, "task")
         number = int(task) if task else None
         if _arg(request, "local"):
-            found = await self.writer.call(self.reading.here, job, number)
-        else:
-            found = await self.reading.everywhere(job, number)
-            if not found and self.index.job(job) is None:
-                return refusal(404, "no such job")
+            return 200, msgspec.json.encode(await self.writer.call(self.reading.here, job, number)), {}
+        found = await self.reading.everywhere(job, number)
+        if not found.attempts and not found.certain:
+            return refusal(503, "not enough archive nodes answer to be certain", RETRY_S)
+        if not found.attempts and self.index.job(job) is None:
+            return refusal(404, "no such job")
         return 200, msgspec.json.encode(found), {}
 
     async def _log(self, request: HTTPServerRequest) -> Answer:
@@ -236,8 +239,7 @@
         )
         if found is None:
             return refusal(404, "no such attempt")
-        data, holes, _ = found
-        return 200, msg.encode((data, holes)), {}
+        return 200, msg.encode(found), {}
 
     async def _raw(self, request: HTTPServerRequest) -> Answer:
         key = _key.decode(request.body)
@@ -310,11 +312,16 @@
         local = bool(_arg(request, "local"))
         if request.method == "GET":
             body = self.index.job(job)
+            silent = 0
             for addr in peers if body is None and not local else ():
                 status, data = await self.client.fetch(addr, "GET", f"{msg.JOBS}/{job}?local=1")
                 if status == 200:
                     body = data
                     break
+                silent += status != 404
+            if body is None and not local and not self.reading.certain(silent):
+                # A worker that is told 404 refuses the task for good. Seen with a node that had just started.
+                return refusal(503, "not enough archive nodes answer to be certain", RETRY_S)
             if body is None:
                 return refusal(404, "no such job")
             return 200, body, {}
--- a/pearstep/cli/jobs.py
+++ b/pearstep/cli/jobs.py
@@ -75,7 +75,8 @@
     if found is None:
         show({"ref": ref, "state": None}, output, f"{ref}: no such job")
         return NO
-    attempts = await clients.archive.attempts(ref) or []
+    look = await clients.archive.look(ref)
+    attempts = look.attempts if look is not None else []
     lines = [f"{ref} {found.state}, {found.done} done, {found.running} running"]
     for a in attempts:
         how = a["cause"] or a["state"]
--- a/pearstep/cli/logs.py
+++ b/pearstep/cli/logs.py
@@ -37,6 +37,18 @@
     out.flush()
 
 
+async def known(clients: Clients, ref: str, task: int | None) -> list[dict[str, Any]]:
+    """The attempts that can be known now; what silent nodes may hide is said."""
+    found = await clients.archive.look(ref, task)
+    if found is None:
+        fail(f"{ref}: no such job in the archive", NO)
+        return []
+    if not found.certain:
+        silent = ", ".join(found.silent) or "some"
+        click.echo(f"[pearstep: archive nodes are silent ({silent}); attempts may be missing]", err=True)
+    return found.attempts
+
+
 async def copy(clients: Clients, attempt: dict[str, Any], stream: str, begin: int) -> int:
     """Show a stream from an offset on as far as it goes; where it ends."""
     at = begin
@@ -56,7 +68,8 @@
     seen: dict[Key, int] = {}
     while True:
         over = until is not None and until.done()
-        attempts = await clients.archive.attempts(ref, task) or []
+        found = await clients.archive.look(ref, task)
+        attempts = found.attempts if found is not None else []
         chosen = [a for a in attempts if number is None or a["attempt"] == number]
         for attempt in chosen:
             key = key_of(attempt)
@@ -92,10 +105,7 @@
     """
     clients = Clients(root)
     stream = "stderr" if stderr else "stdout"
-    attempts = await clients.archive.attempts(ref, task)
-    if attempts is None:
-        fail(f"{ref}: no such job in the archive", NO)
-    chosen = pick(attempts or [], task, attempt)
+    chosen = pick(await known(clients, ref, task), task, attempt)
     if chosen is None and not follow:
         fail(f"{ref}: task {task} has no attempt" + (f" {attempt}" if attempt is not None else " yet"), NO)
     if output == "json":
@@ -106,6 +116,8 @@
         return 0
     assert chosen is not None
     end = await copy(clients, chosen, stream, 0)
+    if end < chosen["have"].get(stream, 0) and chosen["state"] != "expired":
+        fail(f"only {end} of {chosen['have'][stream]} bytes could be read; try again", AWAY)
     if chosen["state"] == "lost":
         click.echo(f"[pearstep: its worker was lost; nothing is known from byte {end} on]", err=True)
     elif chosen["state"] == "expired":
@@ -127,10 +139,8 @@
 @command
 async def list_(root: Path, ref: str, task: int | None, output: str) -> int:
     """List the files of the job REF by task and attempt."""
-    attempts = await Clients(root).archive.attempts(ref, task)
-    if attempts is None:
-        fail(f"{ref}: no such job in the archive", NO)
-    rows = [{"task": a["task"], "attempt": a["attempt"], **f} for a in attempts or () for f in a["artefacts"]]
+    attempts = await known(Clients(root), ref, task)
+    rows = [{"task": a["task"], "attempt": a["attempt"], **f} for a in attempts for f in a["artefacts"]]
     show(rows, output, "\n".join(f"{r['task']}/{r['attempt']}\t{r['size']}\t{r['name']}" for r in rows))
     return 0
 
@@ -148,7 +158,7 @@
 ) -> int:
     """Get the file NAME of a task, or all of its files, verified by their digests."""
     clients = Clients(root)
-    attempts = [a for a in await clients.archive.attempts(ref, task) or [] if a["artefacts"]]
+    attempts = [a for a in await known(clients, ref, task) if a["artefacts"]]
     chosen = pick(attempts, task, attempt)
     files = [f for f in chosen["artefacts"] if name in (None, f["name"])] if chosen else []
     if chosen is None or not files:
--- a/pearstep/client/archive.py
+++ b/pearstep/client/archive.py
@@ -29,6 +29,14 @@
     copies: int
 
 
+class Found(msgspec.Struct):
+    """An answer about attempts: ``certain`` if no silent node can hide another one."""
+
+    attempts: list[dict[str, Any]]
+    certain: bool
+    silent: list[str]
+
+
 class ArchiveClient:
     """``addrs`` are any nodes of the archive; the others are learnt from them."""
 
@@ -125,15 +133,24 @@
 
     # -- readers ---------------------------------------------------------------------------------
 
-    async def attempts(self, job: str, task: int | None = None) -> list[dict[str, Any]] | None:
-        """All attempts of a job or of one task; None if there is no such job."""
+    async def look(self, job: str, task: int | None = None) -> Found | None:
+        """The attempts of a job or of one task, and whether that is surely all; None if there is no such
+        job."""
         query = f"{msg.ATTEMPTS}?job={job}" + (f"&task={task}" if task is not None else "")
         status, data = await self.ask("GET", query)
         if status == 404:
             return None
         if status != 200:
             raise ArchiveAway(f"the archive answers {status}: {_reason(data)}")
-        return msgspec.json.decode(data)
+        return msgspec.json.decode(data, type=Found)
+
+    async def attempts(self, job: str, task: int | None = None) -> list[dict[str, Any]] | None:
+        """All attempts of a job or of one task; None if there is no such job. Raises ArchiveAway if too many
+        nodes are silent to know all of them."""
+        found = await self.look(job, task)
+        if found is not None and not found.certain:
+            raise ArchiveAway(f"archive nodes do not answer: {', '.join(found.silent) or 'list not known'}")
+        return None if found is None else found.attempts
 
     async def read(self, key: Key, stream: str, begin: int) -> tuple[bytes, list[tuple[int, int]]]:
         """Bytes of a stream from an offset on, and the holes among them."""
--- a/pearstep/standin/cloud.py
+++ b/pearstep/standin/cloud.py
@@ -29,6 +29,10 @@
 log = structlog.get_logger("pearstep.cloud")
 
 
+SHORT_US = 2_000_000
+MOST_SHORT_LIVES = 3
+
+
 class MachineKind(msgspec.Struct, forbid_unknown_fields=True):
     """A type of machine, and how many there may be."""
 
@@ -53,6 +57,8 @@
     asked_us: int
     up: bool = False
     process: Any = None
+    begun_us: int = 0
+    short_lives: int = 0
 
 
 class Cloud:
@@ -101,6 +107,8 @@
         for machine in list(self.machines.values()):
             if not machine.up and now - machine.asked_us >= self.kinds[machine.kind].boot_s * 1e6:
                 self._boot(machine)
+            elif machine.up and machine.process.poll() is not None:
+                self._again(machine, now)
         rows = []
         for m in self.machines.values():
             rows.append((m.name, m.addr, m.kind, m.zone, m.spot, self._stage(m), m.asked_us))
@@ -108,11 +116,23 @@
         while len(self.shown) > 1 and self.shown[1][0] <= now - self.lag_us:
             self.shown.pop(0)
 
+    def _again(self, machine: Rented, now: int) -> None:
+        """An agent that ended is started anew, as a machine's init would; one that can't live is a failed
+        machine."""
+        if machine.short_lives >= MOST_SHORT_LIVES:
+            return
+        machine.short_lives = machine.short_lives + 1 if now - machine.begun_us < SHORT_US else 0
+        if machine.short_lives < MOST_SHORT_LIVES:
+            log.warning(
+                "agent ended, starting it anew", machine=machine.name, code=machine.process.returncode
+            )
+            self._boot(machine)
+
     @staticmethod
     def _stage(machine: Rented) -> str:
         if not machine.up:
             return "booting"
-        return "running" if machine.process.poll() is None else "failed"
+        return "failed" if machine.short_lives >= MOST_SHORT_LIVES else "running"
 
     def _boot(self, machine: Rented) -> None:
         kind = self.kinds[machine.kind]
@@ -135,6 +155,7 @@
         pid = machine.process.pid
         (folder / "pid").write_text(f"{pid} {start_time(pid)}")
         machine.up = True
+        machine.begun_us = now_us()
         log.info("machine up", machine=machine.name, addr=machine.addr, pid=machine.process.pid)
 
     async def handle(self, request: HTTPServerRequest) -> Answer:
--- a/tests/test_archive_service.py
+++ b/tests/test_archive_service.py
@@ -2,6 +2,7 @@
 refusals. Nothing waits for a clock: what runs in loops is stepped by hand."""
 
 import asyncio
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -15,7 +16,7 @@
 from pearstep.archive.retention import Retention
 from pearstep.archive.service import Archive
 from pearstep.archive.settings import ArchiveError, ArchiveSettings, load
-from pearstep.client.archive import ArchiveClient, digest
+from pearstep.client.archive import ArchiveAway, ArchiveClient, digest
 from pearstep.links.http import Client, Server
 from pearstep.standin.state import StateService
 
@@ -185,6 +186,46 @@
     play(scenario)
 
 
+def test_a_node_that_cannot_know_says_so_instead_of_no(tmp_path):
+    """A node that had just started knew of no others and said 404: a worker refuses a task for good on that,
+    and a reader takes it for the end of the log."""
+
+    async def scenario():
+        site = Site(tmp_path, 3)
+        await site.settle()
+        assert (await site.client.ask("PUT", "/v1/jobs/req-77", b"{}"))[0] == 201
+        texts = {key: b"some text" for key in keys(24)}
+        for key, text in texts.items():
+            await site.write(key, text)
+        site.state.keys.end(site.nodes["ar-0"].joining.lease)
+        site.nodes["ar-0"].writer.close()
+        site.add("ar-0", "an empty disk")
+        asked = site.addrs["ar-0"]
+
+        async def ask(method, path, body=None):
+            return (await site.http.fetch(asked, method, path, body))[0]
+
+        away = next(k for k in texts if "ar-0" not in site.client.layout.owners(bucket_of(k.job, k.task)))
+        for _ in range(2):
+            assert await ask("GET", "/v1/jobs/req-77") in (503, 200)
+            assert await ask("GET", "/v1/jobs/req-404") == 503
+            assert await ask("GET", msg.ATTEMPTS + "?job=req-404") == 503
+            assert await ask("POST", msg.LOG + "?stream=stdout", msg.encode(away)) in (503, 200)
+            await site.nodes["ar-0"].joining.step()
+            # It knows the others now, but they do not answer.
+            site.cut |= {"ar-1", "ar-2"}
+        site.cut.clear()
+        await site.settle()
+        assert await ask("GET", "/v1/jobs/req-404") == 404
+        assert await ask("GET", msg.ATTEMPTS + "?job=req-404") == 404
+        assert await ask("POST", msg.LOG + "?stream=stdout", msg.encode(away)) == 200
+        site.cut |= {"ar-1", "ar-2"}
+        with pytest.raises(ArchiveAway):
+            await site.client.look("req-77")
+
+    play(scenario)
+
+
 def test_a_gap_is_refused_with_what_is_wanted_and_a_lost_attempt_says_from_where(tmp_path):
     async def scenario():
         site = Site(tmp_path, 1)
@@ -309,3 +350,10 @@
             load(str(file))
     file.write_text(base)
     assert load(str(file)).copies == 1
+
+
+def test_the_settings_under_deploy_are_valid():
+    from pearstep.worker.settings import load as load_worker
+
+    root = Path(__file__).resolve().parents[1] / "deploy"
+    assert load(str(root / "archive.yaml")).name and load_worker(str(root / "worker.yaml")).machine
