Archive nodes give up copies that every keeper was heard to hold

Need: after members change, nodes kept copies of buckets that others keep until retention; disks fill.

Change: a node that holds a bucket it does not keep drops its ended attempts once each keeper's digest equals its own; a frame says so, which is never moved to the end, since there it would undo what came later.

Measured: with a fourth node added to three, 82 copies are 82 again, each with its two keepers, while the newcomer is silent nothing goes.

--- a/pearstep/archive/copies.py
+++ b/pearstep/archive/copies.py
@@ -17,9 +17,9 @@
 from .frames import ChunkFrame, File, RecordFrame
 from .members import Membership
 from .messages import Result
-from .placement import bucket_of
-from .records import Append, Key, Live, merge
-from .repair import Pace, Plan, differing, digests, plan
+from .placement import Layout, bucket_of
+from .records import EXPIRED, SEALED, Append, Key, Live, merge
+from .repair import Pace, Plan, differing, digests, plan, surplus
 from .writer import RETRY_S, Writer
 
 log = logging.getLogger("pearstep.archive")
@@ -39,6 +39,7 @@
         self.durable_on = durable_on
         self.pace = pace
         self.repaired = 0  # plain bytes
+        self.dropped = 0  # copies that others keep
         self.lacking = 0  # buckets that differed in the last round
 
     # -- writes ----------------------------------------------------------------------------------
@@ -144,21 +145,36 @@
         if len(layout.members) < 2:
             return 0
         done = lacking = 0
+        heard: dict[str, dict[int, int]] = {}
         for peer in sorted(layout.members):
             if peer == me.name:
                 continue
             status, data = await self.client.fetch(layout.members[peer], "GET", msg.DIGESTS, timeout_s=10.0)
             if status != 200:
                 continue
-            theirs = msgspec.msgpack.decode(data, type=dict[int, int])
+            theirs = heard[peer] = msgspec.msgpack.decode(data, type=dict[int, int])
             mine = digests(await self.writer.call(self.writer.storage.index.bucket_rows))
             for bucket in differing(me.name, layout, mine, peer, theirs):
                 lacking += 1
                 done += await self._mend(layout.members[peer], peer, bucket)
         self.lacking = lacking
         self.repaired += done
+        if me.takes and layout is me.layout and not done:
+            await self._give_up(layout, heard)
         return done
 
+    async def _give_up(self, layout: Layout, heard: dict[str, dict[int, int]]) -> None:
+        """Drop copies that others keep whole. Nothing that is still written is dropped: its keepers only
+        look whole until the next byte."""
+        index = self.writer.storage.index
+        mine = digests(await self.writer.call(index.bucket_rows))
+        for bucket in surplus(self.membership.name, layout, mine, heard):
+            lives = await self.writer.call(index.bucket, bucket)
+            if lives and all(live.record.state in (SEALED, EXPIRED) for live in lives):
+                log.info("bucket %d is with its keepers: dropping %d copies", bucket, len(lives))
+                await self.writer.drop([live.record.key for live in lives])
+                self.dropped += len(lives)
+
     async def _mend(self, addr: str, peer: str, bucket: int) -> int:
         status, data = await self.client.fetch(addr, "GET", f"{msg.BUCKET}/{bucket}", timeout_s=10.0)
         if status != 200:
--- a/pearstep/archive/frames.py
+++ b/pearstep/archive/frames.py
@@ -49,6 +49,12 @@
     at_us: int
 
 
+class DropFrame(msgspec.Struct, array_like=True, tag="d"):
+    """This node no longer holds these attempts: others keep them. Only frames before it are meant."""
+
+    keys: list[Key]
+
+
 class JobFrame(msgspec.Struct, array_like=True, tag="j"):
     """A job's description, as its user uploaded it (JSON)."""
 
@@ -56,7 +62,7 @@
     body: bytes
 
 
-Frame = RecordFrame | ChunkFrame | ManifestFrame | JobFrame
+Frame = RecordFrame | ChunkFrame | ManifestFrame | JobFrame | DropFrame
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
--- a/pearstep/archive/index.py
+++ b/pearstep/archive/index.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .frames import ChunkFrame, File, Frame, JobFrame, ManifestFrame, RecordFrame
+from .frames import ChunkFrame, DropFrame, File, Frame, JobFrame, ManifestFrame, RecordFrame
 from .placement import bucket_of
 from .records import EXPIRED, SEALED, STREAMS, Key, Live, Record, merge
 
@@ -144,6 +144,12 @@
                 "insert or replace into artefacts values(?, ?, ?, ?)",
                 [(rowid, f.name, f.digest, f.size) for f in frame.files],
             )
+        elif isinstance(frame, DropFrame):
+            for key in frame.keys:
+                rowid, _, old = self._row(db, key)
+                self._shift(db, old, None)
+                self._drop_bytes(db, rowid)
+                db.execute("delete from attempts where id=?", (rowid,))
         elif isinstance(frame, JobFrame):
             was = db.execute("select segment, size from jobs where job=?", (frame.job,)).fetchone()
             self._shift(db, was, (seg, size))
@@ -307,6 +313,10 @@
         if isinstance(frame, ManifestFrame):
             rowid = self._id(frame.key)
             return bool(self._all("select 1 from manifests where id=? and segment=?", rowid or 0, segment))
+        if isinstance(frame, DropFrame):
+            # Moved to the end it would undo what came since. Without it, an index made anew may find again
+            # what was dropped, and it is dropped again.
+            return False
         return bool(self._all("select 1 from jobs where job=? and segment=?", frame.job, segment))
 
     def forget_segment(self, segment: int) -> None:
--- a/pearstep/archive/repair.py
+++ b/pearstep/archive/repair.py
@@ -62,6 +62,19 @@
     )  # fmt: skip
 
 
+def surplus(name: str, layout: Layout, mine: dict[int, int], heard: dict[str, dict[int, int]]) -> list[int]:
+    """The buckets that this node holds but does not keep, and of which every keeper was heard to hold the
+    same: only then may a copy go, since it may be the last that is whole."""
+    out = []
+    for bucket, digest in sorted(mine.items()):
+        keepers = layout.owners(bucket)
+        if name in keepers or len(keepers) < layout.copies:
+            continue
+        if all(heard.get(peer, {}).get(bucket) == digest for peer in keepers):
+            out.append(bucket)
+    return out
+
+
 def plan(
     mine: dict[Key, Live], peer: str, theirs: Iterable[tuple[Record, dict[str, int]]],
     published: Collection[Key] = (), manifests: Iterable[ManifestFrame] = (),
--- a/pearstep/archive/writer.py
+++ b/pearstep/archive/writer.py
@@ -11,7 +11,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from .frames import ChunkFrame, Damaged, Frame, JobFrame, RecordFrame, unpack
+from .frames import ChunkFrame, Damaged, DropFrame, Frame, JobFrame, RecordFrame, unpack
 from .messages import Result
 from .records import OPEN, Append, Key, Live, Record, Verdict, decide, lose
 from .retention import Room
@@ -175,6 +175,13 @@
         self._remember(Live(record, dict(have), self.now_us()))
         await self.write([RecordFrame(record)])
 
+    async def drop(self, keys: list[Key]) -> None:
+        """Give up copies that others keep."""
+        for key in keys:
+            self.open.pop(key, None)
+            self._known.pop(key, None)
+        await self.write([DropFrame(keys)])
+
     async def put_job(self, job: str, body: bytes) -> int:
         """Store a job's description: 201 if new, 200 if it was here, 409 if another one was."""
         known = self.storage.index.job(job)
--- a/tests/test_archive_service.py
+++ b/tests/test_archive_service.py
@@ -10,12 +10,14 @@
 
 from pearstep.archive import messages as msg
 from pearstep.archive.frames import File, pack
+from pearstep.archive.index import Index
 from pearstep.archive.placement import bucket_of
 from pearstep.archive.records import Append, Key, Seal
 from pearstep.archive.repair import digests
 from pearstep.archive.retention import Retention
 from pearstep.archive.service import Archive
 from pearstep.archive.settings import ArchiveError, ArchiveSettings, load
+from pearstep.archive.storage import Storage
 from pearstep.client.archive import ArchiveAway, ArchiveClient, digest
 from pearstep.links.http import Client, Server
 from pearstep.standin.state import StateService
@@ -159,6 +161,41 @@
     play(scenario)
 
 
+def test_copies_that_others_keep_go_and_only_those(tmp_path):
+    async def scenario():
+        site = Site(tmp_path, 3)
+        await site.settle()
+        texts = {key: f"task {key.task}".encode() for key in keys(40)}
+        for key, text in texts.items():
+            assert (await site.write(key, text)).status == 200
+        unfinished = keys(41)[40]
+        await site.write(unfinished, b"not over", end=False)
+        site.add("ar-3")
+        await site.settle()
+        layout = site.client.layout
+        # The newcomer is silent for a while: what it is to keep stays where it is.
+        site.cut.add("ar-3")
+        await site.repair()
+        held = {n: {r[1:6] for r in node.index.bucket_rows()} for n, node in site.nodes.items()}
+        assert sum(map(len, held.values())) == 2 * 41
+        site.cut.clear()
+        for _ in range(3):
+            await site.repair()
+        for key, text in texts.items():
+            has = {n for n, node in site.nodes.items() if node.index.live(key) is not None}
+            assert has == set(layout.owners(bucket_of(key.job, key.task)))
+            assert await site.text(key) == text
+        assert sum(node.copies.dropped for node in site.nodes.values()) > 5
+        assert sum(node.index.live(unfinished) is not None for node in site.nodes.values()) >= 2
+        # After a restart with a lost index, what was dropped stays dropped or is dropped again.
+        node = site.nodes["ar-0"]
+        before = {r[1:] for r in node.index.bucket_rows()}
+        again = Storage(node.disk, Index(":memory:"))
+        assert {r[1:] for r in again.index.bucket_rows()} == before
+
+    play(scenario)
+
+
 def test_a_late_writer_ends_at_another_node_and_touches_no_later_attempt(tmp_path):
     async def scenario():
         site = Site(tmp_path, 3)
