--- a/measurements/archive_kills.py
+++ b/measurements/archive_kills.py
@@ -33,26 +33,7 @@
 MOST_WRITE = 8192
 # Rounds under way at once: what is killed in one is killed for all of them.
 LANES = 3
-WRITER = """
-import hashlib, os, random, sys, time
-job, task, attempt, truth, total, code = sys.argv[1:7]
-rng = random.Random(f"{job}/{task}/{attempt}")
-done = {1: 0, 2: 0}
-def text(stream, begin, length):
-    name = f"{job}/{task}/{attempt}/{stream}".encode()
-    first, last = begin // 64, (begin + length) // 64 + 1
-    data = b"".join(hashlib.blake2b(name + b"%d" % i).digest() for i in range(first, last))
-    return data[begin - first * 64 :][:length]
-notes = {s: os.open(f"{truth}/{job}.{task}.{attempt}.{s}", os.O_WRONLY | os.O_CREAT, 0o600) for s in (1, 2)}
-while done[1] + done[2] < int(total):
-    stream = 1 if rng.random() < 0.8 else 2
-    n = os.write(stream, text(stream, done[stream], rng.randint(1, 8192)))
-    done[stream] += n
-    os.pwrite(notes[stream], b"%12d" % done[stream], 0)
-    if rng.random() < 0.2:
-        time.sleep(rng.random() * 0.02)
-sys.exit(int(code))
-"""
+WRITER = (Path(__file__).parent / "task_writer.py").read_text()
 
 
 def expected(job: str, task: int, attempt: int, stream: int, length: int) -> bytes:
@@ -118,12 +99,9 @@
         job = f"req-{number}"
         sizes = [self.rng.choice([0, 1, 3000, 60_000, 400_000]) for _ in range(5)]
         codes = [self.rng.choice([0, 0, 3]) for _ in sizes]
-        argv = [sys.executable, "writer.py", "{job}", "{task}", "{attempt}", str(self.truth), "TOTAL", "CODE"]
-        script = f"TOTALS, CODES = {sizes!r}, {codes!r}\n" + WRITER.replace(
-            "job, task, attempt, truth, total, code = sys.argv[1:7]",
-            "job, task, attempt, truth = sys.argv[1:5]\ntotal, code = TOTALS[int(task)], CODES[int(task)]",
-        )
-        body = encode(Description("kill", "t", Run(argv[:6], files={"writer.py": script}), tasks=len(sizes)))
+        argv = [sys.executable, "writer.py", "{job}", "{task}", "{attempt}", str(self.truth)]
+        script = WRITER.replace("TOTALS, CODES = [], []", f"TOTALS, CODES = {sizes!r}, {codes!r}")
+        body = encode(Description("kill", "t", Run(argv, files={"writer.py": script}), tasks=len(sizes)))
         await self._until(lambda: self._put(job, body), "description", 20)
         waiting: set[tuple[str, str, int]] = set()
         for task in range(len(sizes)):
@@ -216,6 +194,11 @@
 
     async def _settled(self, job: str) -> bool:
         found = await self.client.attempts(job) or []
+        known = {(a["machine"], str(a["start"])) for a in found}
+        for note in self.truth.glob(f"{job}.*"):
+            machine, start = note.name.split(".")[3:5]
+            if machine not in self.gone and (machine, start) not in known:
+                return False
         return all(
             a["state"] == "sealed" or (a["state"] == "lost" and a["machine"] in self.gone) for a in found
         )
@@ -234,7 +217,9 @@
             self.count["sealed" if a["state"] == "sealed" else "lost"] += 1
             for stream, name in ((1, "stdout"), (2, "stderr")):
                 data = texts[key][stream - 1]
-                note = self.truth / f"{a['job']}.{a['task']}.{a['attempt']}.{stream}"
+                note = self.truth / ".".join(
+                    [key.job, str(key.task), str(key.attempt), key.machine, str(key.start), str(stream)]
+                )
                 noted = int(note.read_bytes() or b"0") if note.exists() else 0
                 seen[note.name] = True
                 self.count["bytes"] += len(data)
