An agent that is started anew brings the files that its predecessor owed

Need: a task that was done and whose agent was killed while it uploaded left its files nowhere, since the next attempt finds the result kept.

--- a/measurements/task_writer.py
+++ b/measurements/task_writer.py
@@ -34,6 +34,9 @@
         os.pwrite(notes[stream], b"%12d" % done[stream], 0)
         if rng.random() < 0.2:
             time.sleep(rng.random() * 0.02)
+    if code == 0:
+        with open("out.bin", "wb") as out:
+            out.write(text(f"{job}/{task}/{attempt}/file".encode(), 0, 10_000 + 10 * total))
     sys.exit(code)
 
 
--- a/pearstep/worker/agent.py
+++ b/pearstep/worker/agent.py
@@ -5,13 +5,14 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import msgspec
 import structlog
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 from tornado.httputil import HTTPServerRequest
 
-from ..archive.records import Seal
+from ..archive.records import Key, Seal
 from ..client.archive import ArchiveAway, ArchiveClient
 from ..core.model import US
 from ..jobs.description import Description, DescriptionError, decode
@@ -20,7 +21,7 @@
 from ..wire import agent as wire
 from ..wire.node import COMMANDS, INSPECT, REPORT, Malformed, error_answer
 from . import mates as mt
-from .folder import Folder, lengths
+from .folder import Folder, RunNote, lengths
 from .gangs import GANG, Gangs
 from .outputs import collect
 from .processes import adopt_orphans, reap, sweep
@@ -59,6 +60,10 @@
         self.gangs = Gangs(self.client, self.archive, s.bind)
         self.runs: dict[tuple[str, int], Run] = {}
         self.ended: dict[Spooled, Run | None] = {}
+        # Starts whose files a former agent did not bring to the archive. Seen: a task that was done, its
+        # agent killed while it uploaded; the next attempt found the result kept, and the files were
+        # nowhere.
+        self.owed: dict[Path, RunNote] = {}
         self.due = asyncio.Event()
         for folder, note, seal in self._former:
             # An earlier session's: this one finishes its log, and nobody of that session may write it any
@@ -68,6 +73,8 @@
             spool.end(seal)
             self.ended[spool] = None
             self.shipping.add(spool, folder)
+            if self.place.owes_files(folder, note, seal):
+                self.owed[folder] = note
         self._meters()
 
     def _finish_former(self) -> None:
@@ -107,6 +114,8 @@
         log.info(
             "worker", machine=self.settings.machine, bind=self.settings.bind, session=self.session.number
         )
+        for folder, note in list(self.owed.items()):
+            asyncio.ensure_future(self._pay(folder, note))
         await asyncio.gather(
             self._forever(self._report, 0.0),
             self._forever(self._poll, POLL_S),
@@ -371,29 +380,44 @@
 
     async def _publish(self, run: Run) -> None:
         assert run.description is not None and run.folder is not None and run.spool is not None
-        root = run.folder / "task"
-        names, left = await asyncio.to_thread(collect, root, run.description.run.outputs)
+        job = run.description
+        await self._bring_files(run.folder, run.spool.key, job.team, job.run.outputs)
+        run.published = True
+        self._clean(run)
+
+    async def _pay(self, folder: Path, note: RunNote) -> None:
+        """Bring the files that a former agent owed."""
+        await self._bring_files(folder, note.key, note.team, note.outputs)
+        del self.owed[folder]
+        if not any(s.key == note.key for s in self.shipping.spools):
+            self.place.remove(folder)
+
+    async def _bring_files(self, folder: Path, key: Key, team: str, outputs: list[str]) -> None:
+        """Until they are there, or the archive says that it will never take them."""
+        root = folder / "task"
+        names, left = await asyncio.to_thread(collect, root, outputs)
         for name, why in left:
-            log.warning("output left out", attempt=run.spool.key.text(), file=name, why=why)
+            log.warning("output left out", attempt=key.text(), file=name, why=why)
         pause_s = 0.2
         while names:
             try:
-                why = await self.archive.publish(run.spool.key, run.description.team, root, names)
+                why = await self.archive.publish(key, team, root, names)
                 if why:
-                    log.warning("outputs refused", attempt=run.spool.key.text(), why=why)
+                    log.warning("outputs refused", attempt=key.text(), why=why)
                 break
             except (ArchiveAway, OSError) as err:
-                log.info("outputs wait", attempt=run.spool.key.text(), why=str(err))
+                log.info("outputs wait", attempt=key.text(), why=str(err))
                 await asyncio.sleep(pause_s)
                 pause_s = min(pause_s * 2, 10.0)
-        run.published = True
-        self._clean(run)
+        self.place.published(folder)
 
     def _shipped(self, spool: Spooled) -> None:
         """The archive has all of an attempt, or takes no more of it."""
         run = self.ended.pop(spool, None)
         if run is None:
-            self.place.remove(self.place.runs / str(spool.key.start))
+            folder = self.place.runs / str(spool.key.start)
+            if folder not in self.owed:
+                self.place.remove(folder)
         else:
             self._clean(run)
 
--- a/pearstep/worker/folder.py
+++ b/pearstep/worker/folder.py
@@ -38,6 +38,7 @@
     cls: str
     opened_us: int
     process: Started | None = None
+    outputs: list[str] = []
 
 
 class AgentRuns(Exception):
@@ -95,6 +96,15 @@
         """Write down an end."""
         self._write(folder / "end.json", seal)
 
+    def published(self, folder: Path) -> None:
+        """Write down that a start's files are in the archive, or never will be."""
+        (folder / "published").touch()
+
+    def owes_files(self, folder: Path, note: RunNote, seal: Seal | None) -> bool:
+        """Whether a start that a former agent left was done and its files may not be in the archive."""
+        done = seal is not None and seal.cause == "done"
+        return done and bool(note.outputs) and not (folder / "published").exists()
+
     def found(self) -> list[tuple[Path, RunNote, Seal | None]]:
         """What a former agent left."""
         out = []
--- a/pearstep/worker/run.py
+++ b/pearstep/worker/run.py
@@ -73,7 +73,7 @@
         job = self.description
         count, folder = place.new_start()
         key = Key(self.job, self.task, self.attempt, machine, count)
-        note = RunNote(key, self.session, job.team, job.cls, wall_us())
+        note = RunNote(key, self.session, job.team, job.cls, wall_us(), outputs=job.run.outputs)
         place.note(folder, note)
         self.folder = folder
         self.spool = Spooled(key, self.session, job.team, job.cls, note.opened_us)
--- a/tests/test_shipping.py
+++ b/tests/test_shipping.py
@@ -5,7 +5,9 @@
 
 from pearstep.archive.records import Key, Seal
 from pearstep.links.clocks import now_us
+from pearstep.worker.agent import Agent
 from pearstep.worker.folder import Folder, RunNote, lengths
+from pearstep.worker.settings import WorkerSettings
 from pearstep.worker.shipping import Shipping
 from pearstep.worker.spool import GIVEN_UP, SEALED, Spooled
 
@@ -162,3 +164,45 @@
     spool.answered(200, {}, False, 0, now)
     assert spool.next(10, 10, now + 999, 1000) is None
     assert spool.next(10, 10, now + 1000, 1000) == ([], False)
+
+
+def test_files_that_a_killed_agent_owed_are_brought_by_the_next_one(tmp_path):
+    """A task was done and its agent killed while it uploaded: the next attempt finds the result kept, so
+    nobody would ever make the files again."""
+
+    async def scenario():
+        site = Site(tmp_path / "site", 3)
+        await site.settle()
+        place = Folder(tmp_path / "agent")
+        place.new_session()
+        keys, gone = [], None
+        for outputs, cause in (
+            (["out.bin"], "done"),
+            ([], "done"),
+            (["out.bin"], "error"),
+            (["none*"], "done"),
+        ):
+            start, folder = place.new_start()
+            key = Key("req-9", start, 1, "i-1", start)
+            place.note(folder, RunNote(key, 1, "t", "c", 1, outputs=outputs))
+            (folder / "task" / "out.bin").write_bytes(b"tile" * 1000)
+            (folder / "stdout").write_bytes(b"log")
+            place.ended(folder, Seal(cause, 0, lengths(folder), 3))
+            keys.append(key)
+            gone = gone or folder
+        place.close()
+        settings = WorkerSettings("i-1", "127.0.0.1:1", str(tmp_path / "agent"), {"n": "127.0.0.1:1"}, "any",
+                                  archives=list(site.addrs.values()))  # fmt: skip
+        agent = Agent(settings)
+        assert agent.session.number == 2 and sorted(n.key.task for n in agent.owed.values()) == [1, 4]
+        await agent.archive.refresh()
+        await ship(agent.shipping)
+        assert gone.exists()  # its log is safe, its file is not
+        for folder, note in list(agent.owed.items()):
+            await agent._pay(folder, note)
+        files = {a["task"]: a["artefacts"] for a in await site.client.attempts("req-9")}
+        assert [len(files[key.task]) for key in keys] == [1, 0, 0, 0]
+        assert files[1][0]["size"] == 4000 and list(agent.place.runs.iterdir()) == []
+        agent.place.close()
+
+    play(scenario)
