Federation: the books of loans, what is written, said, and said again

Change: pearstep/federation/books.py keeps all loans of a cluster as home and guest: entries to write, the messages that each permits, repeats after pauses that double, grants and reservations. Pure; nothing imports it yet.

--- /dev/null
+++ b/pearstep/federation/books.py
@@ -0,0 +1,249 @@
+"""The books of loans: all records of one cluster as home and as guest, what is to be written, and what is
+to be said again. Pure: it returns entries; the caller writes each in a conditional transaction and then
+tells ``written``, which permits the messages.
+
+Records are what the state service holds, so whichever controller keeps the books after another starts from
+them; when something was last said is forgotten with the controller, and then it is said once more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from . import handoff as ho
+from .handoff import GuestLoan, HomeLoan, Message
+from .overflow import Grant, Lend
+from .peers import Peer
+
+FIRST_AGAIN_US, LONGEST_AGAIN_US = 1_000_000, 30_000_000
+MOST_IN_ENVELOPE = 200
+# Loans that one leadership may make: numbers are its stamp and a count below this.
+PER_STAMP = 1 << 20
+
+
+class Need(msgspec.Struct, frozen=True):
+    """What one task takes."""
+
+    cpus: float = 1.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+
+
+class Said(msgspec.Struct, frozen=True):
+    """A message about a job, as it goes over the link; the job's id is that of its home. The first offer of a
+    loan brings what its tasks need; the job's description is asked for by its id."""
+
+    ref: str
+    message: Message
+    need: Need = Need()
+
+
+class HomeBook(msgspec.Struct, frozen=True):
+    """A job's record as home: the loan, the peer that has or had it, and what a task needs."""
+
+    loan: HomeLoan
+    peer: str = ""
+    need: Need = Need()
+    returned: int = 0
+
+
+class GuestBook(msgspec.Struct, frozen=True):
+    """A job's record as guest of a peer."""
+
+    loan: GuestLoan
+    need: Need = Need()
+    since_us: int = 0  # time of day of the reservation
+
+
+class Entry(msgspec.Struct):
+    """A record to write, by key, under the condition that it is still ``before``; then what it permits."""
+
+    key: str
+    before: HomeBook | GuestBook | None
+    after: HomeBook | GuestBook
+    peer: str
+    says: list[Said]
+
+
+class Books:
+    """One cluster's loans. ``stamp`` is the revision of the leadership that keeps them: with a count it makes
+    numbers that never come again and only grow."""
+
+    def __init__(self, stamp: int, grants: dict[str, Grant], reserve_us: int) -> None:
+        self.stamp = stamp
+        self.count = 0
+        self.grants = grants
+        self.reserve_us = reserve_us
+        self.home: dict[str, HomeBook] = {}
+        self.guest: dict[tuple[str, str], GuestBook] = {}
+        self._again: dict[tuple[str, str, str], tuple[int, int]] = {}  # next time and pause
+
+    def load(self, home: dict[str, HomeBook], guest: dict[tuple[str, str], GuestBook]) -> None:
+        """Start from the records."""
+        self.home, self.guest = dict(home), dict(guest)
+
+    # -- what is asked of the books --------------------------------------------------------------
+
+    def lend(self, job: str, tasks: int, need: Need, lend: Lend, running: int, repeats: bool) -> Entry | None:
+        """Offer rows of a job to a peer; those that wait, from the lowest on."""
+        book = self.home.get(job) or HomeBook(HomeLoan(tasks, repeats=repeats))
+        waiting = book.loan.startable & ~running
+        rows = 0
+        for task in range(tasks):
+            if waiting >> task & 1 and rows.bit_count() < lend.rows:
+                rows |= 1 << task
+        self.count += 1
+        if self.count >= PER_STAMP:
+            return None
+        number = self.stamp * PER_STAMP + self.count
+        loan, said = ho.offer(book.loan, number, rows, running)
+        if loan == book.loan:
+            return None
+        after = msgspec.structs.replace(book, loan=loan, peer=lend.peer, need=need)
+        return self._home_entry(job, after, said)
+
+    def act(self, job: str, change: tuple[HomeLoan, list[Message]]) -> Entry | None:
+        """A step of home's own accord: recall, cancel, withdraw, the end of a term, an operator's word."""
+        book = self.home.get(job)
+        if book is None or change[0] == book.loan:
+            return None
+        return self._home_entry(job, msgspec.structs.replace(book, loan=change[0]), change[1])
+
+    def act_as_guest(self, peer: str, job: str, change: tuple[GuestLoan, list[Message]]) -> Entry | None:
+        """A step of the guest's own accord: a task done, giving back, stopped, a reservation over."""
+        book = self.guest.get((peer, job))
+        if book is None or change[0] == book.loan:
+            return None
+        return self._guest_entry(peer, job, msgspec.structs.replace(book, loan=change[0]), change[1])
+
+    def hear(self, peer: str, said: Said, free: Need, wall_us: int) -> Entry | list[Said]:
+        """What a peer says: an entry to write, or, if nothing changes, what to answer at once. ``free`` is
+        what the cluster has for loans now; what is reserved is not free any more."""
+        kind = said.message.kind
+        if kind in (ho.OFFER, ho.GRANT, ho.RECALL, ho.CONFIRM):
+            guest = self.guest.get((peer, said.ref)) or GuestBook(GuestLoan())
+            fits = kind != ho.OFFER or self._room(peer, said, free)
+            loan, answers = ho.guest_hears(guest.loan, said.message, fits)
+            out = [Said(said.ref, m) for m in answers]
+            if loan == guest.loan:
+                return out
+            need, since = guest.need, guest.since_us
+            if loan.state == ho.RESERVED and guest.loan.number != loan.number:
+                need, since = said.need, wall_us
+            return self._guest_entry(peer, said.ref, GuestBook(loan, need, since), answers)
+        book = self.home.get(said.ref) or HomeBook(HomeLoan(0, state=ho.SETTLED))
+        if book.peer and book.peer != peer:
+            # A guest that this job is no longer with: whatever it was, it is over. Its number is never the
+            # present one, so that it is told the same as of any old loan.
+            old = msgspec.structs.replace(book.loan, state=ho.AT_HOME, number=0)
+            _, answers = ho.home_hears(old, said.message)
+            return [Said(said.ref, m) for m in answers]
+        before = book.loan
+        home, answers = ho.home_hears(before, said.message)
+        if home == before or said.ref not in self.home:
+            return [Said(said.ref, m, book.need) for m in answers]
+        came_back = before.state in (ho.GRANTED, ho.RECALLING) and home.state == ho.AT_HOME
+        after = msgspec.structs.replace(book, loan=home, returned=book.returned + came_back)
+        return self._home_entry(said.ref, after, answers)
+
+    def _room(self, peer: str, said: Said, free: Need) -> bool:
+        grant = self.grants.get(peer)
+        if grant is None:
+            return False
+        used = self.used(peer)
+        count = said.message.rows.bit_count()
+        need = (said.need.cpus * count, said.need.gpus * count, said.need.memory_gb * count)
+        reserved = self._reserved()
+        granted = (grant.cpus, grant.gpus, grant.memory_gb)
+        there = (free.cpus, free.gpus, free.memory_gb)
+        return all(
+            n <= f - r + 1e-9 and n <= g - u + 1e-9
+            for n, f, r, g, u in zip(need, there, reserved, granted, used, strict=True)
+        )
+
+    def used(self, peer: str) -> tuple[float, float, float]:
+        """What a peer's loans hold of its grant: reserved, running and stopping."""
+        return _sum(b for (p, _), b in self.guest.items() if p == peer and b.loan.state in _OCCUPIED)
+
+    def _reserved(self) -> tuple[float, float, float]:
+        return _sum(b for b in self.guest.values() if b.loan.state == ho.RESERVED)
+
+    # -- entries ---------------------------------------------------------------------------------
+
+    def _home_entry(self, job: str, after: HomeBook, says: list[Message]) -> Entry:
+        before = self.home.get(job)
+        return Entry(f"l/{job}", before, after, after.peer, [Said(job, m, after.need) for m in says])
+
+    def _guest_entry(self, peer: str, job: str, after: GuestBook, says: list[Message]) -> Entry:
+        before = self.guest.get((peer, job))
+        return Entry(f"g/{peer}/{job}", before, after, peer, [Said(job, m) for m in says])
+
+    def written(self, entry: Entry, now_us: int) -> list[Said]:
+        """The entry is committed: what may be said now. Without this, the books are as they were."""
+        kind, _, rest = entry.key.partition("/")
+        if kind == "l":
+            assert isinstance(entry.after, HomeBook)
+            self.home[rest] = entry.after
+        else:
+            assert isinstance(entry.after, GuestBook)
+            self.guest[entry.peer, rest.partition("/")[2]] = entry.after
+        self._again.pop((kind, entry.peer, rest.rpartition("/")[2]), None)
+        for said in entry.says:
+            self._note((kind, entry.peer, said.ref), now_us)
+        return entry.says
+
+    # -- saying it again -------------------------------------------------------------------------
+
+    def _note(self, key: tuple[str, str, str], now_us: int) -> None:
+        pause = self._again.get(key, (0, FIRST_AGAIN_US // 2))[1] * 2
+        self._again[key] = (now_us + pause, min(pause, LONGEST_AGAIN_US // 2))
+
+    def due(self, peers: dict[str, Peer], now_us: int) -> dict[str, list[Said]]:
+        """What is to be said again by peer, at most an envelope each: what has not been answered, after a
+        pause that doubles. A peer that came back is told of every loan before it counts as up."""
+        out: dict[str, list[Said]] = {}
+        open_home = ((job, b.peer, ho.home_says(b.loan), b.need) for job, b in self.home.items())
+        open_guest = ((job, peer, ho.guest_says(b.loan), Need()) for (peer, job), b in self.guest.items())
+        for kind, rows in (("l", open_home), ("g", open_guest)):
+            for job, peer, says, need in rows:
+                if not says or peer not in peers:
+                    continue
+                if kind == "l" and says[0].kind == ho.GRANT and peers[peer].agreed:
+                    # Granted and running: only asked after now and then, so that a lost grant is found.
+                    self._again.setdefault((kind, peer, job), (now_us, LONGEST_AGAIN_US // 2))
+                key = (kind, peer, job)
+                box = out.setdefault(peer, [])
+                if now_us >= self._again.get(key, (0, 0))[0] and len(box) < MOST_IN_ENVELOPE:
+                    box += [Said(job, m, need) for m in says]
+                    self._note(key, now_us)
+        return {peer: box for peer, box in out.items() if box}
+
+    def back(self, peer: str) -> None:
+        """The peer is heard again: whatever is open with it is said at once, not after the pause that its
+        silence has made long."""
+        self._again = {key: when for key, when in self._again.items() if key[1] != peer}
+
+    def overdue(self, wall_us: int) -> list[Entry]:
+        """Reservations whose time is over."""
+        out = []
+        for (peer, job), book in list(self.guest.items()):
+            if book.loan.state == ho.RESERVED and wall_us - book.since_us >= self.reserve_us:
+                entry = self.act_as_guest(peer, job, (ho.reservation_over(book.loan), []))
+                if entry is not None:
+                    out.append(entry)
+        return out
+
+
+_OCCUPIED = (ho.RESERVED, ho.HOLDING, ho.STOPPING)
+
+
+def _sum(books: Iterable[GuestBook]) -> tuple[float, float, float]:
+    cpus = gpus = memory = 0.0
+    for book in books:
+        count = (book.loan.rows & ~book.loan.done).bit_count()
+        cpus += book.need.cpus * count
+        gpus += book.need.gpus * count
+        memory += book.need.memory_gb * count
+    return cpus, gpus, memory
