--- a/pearstep/federation/books.py
+++ b/pearstep/federation/books.py
@@ -84,6 +84,22 @@
         """Start from the records."""
         self.home, self.guest = dict(home), dict(guest)
 
+    def record(self, key: str) -> HomeBook | GuestBook | None:
+        """A record by its key."""
+        kind, _, rest = key.partition("/")
+        if kind == "l":
+            return self.home.get(rest)
+        peer, _, job = rest.partition("/")
+        return self.guest.get((peer, job))
+
+    def unsaid(self, peer: str) -> bool:
+        """Whether something that is open with a peer has not been said since it came back."""
+        open_home = (("l", j) for j, b in self.home.items() if b.peer == peer and ho.home_says(b.loan))
+        open_guest = (("g", j) for (p, j), b in self.guest.items() if p == peer and ho.guest_says(b.loan))
+        return any(
+            (kind, peer, job) not in self._again for rows in (open_home, open_guest) for kind, job in rows
+        )
+
     # -- what is asked of the books --------------------------------------------------------------
 
     def lend(self, job: str, tasks: int, need: Need, lend: Lend, running: int, repeats: bool) -> Entry | None:
@@ -210,9 +226,6 @@
             for job, peer, says, need in rows:
                 if not says or peer not in peers:
                     continue
-                if kind == "l" and says[0].kind == ho.GRANT and peers[peer].agreed:
-                    # Granted and running: only asked after now and then, so that a lost grant is found.
-                    self._again.setdefault((kind, peer, job), (now_us, LONGEST_AGAIN_US // 2))
                 key = (kind, peer, job)
                 box = out.setdefault(peer, [])
                 if now_us >= self._again.get(key, (0, 0))[0] and len(box) < MOST_IN_ENVELOPE:
--- a/pearstep/links/http.py
+++ b/pearstep/links/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import ssl
 from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
@@ -90,9 +91,8 @@
                 while idle and (stream is None or stream.closed()):
                     stream = idle.pop()
                 if stream is None or stream.closed():
-                    host, _, port = addr.rpartition(":")
                     async with asyncio.timeout(min(timeout_s, 2.0)):
-                        stream = await self._tcp.connect(host, int(port), max_buffer_size=64 * 1024 * 1024)
+                        stream = await self._open(addr)
                 reply, again = await self._exchange(stream, addr, method, path, body)
                 if idle is not None and again and len(idle) < KEPT:
                     idle.append(stream)
@@ -105,6 +105,11 @@
             if stream is not None:
                 stream.close()
 
+    async def _open(self, addr: str) -> IOStream:
+        """A new connection."""
+        host, _, port = addr.rpartition(":")
+        return await self._tcp.connect(host, int(port), max_buffer_size=64 * 1024 * 1024)
+
     async def _exchange(
         self, stream: IOStream, addr: str, method: str, path: str, body: bytes | None
     ) -> tuple[_Reply, bool]:
@@ -131,9 +136,11 @@
 class Server:
     """Listens on an address and answers each request with what the handler returns."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, ssl_options: ssl.SSLContext | None = None) -> None:
         self._handler = handler
-        self._server = HTTPServer(self._accept, max_body_size=4 * 1024 * 1024, idle_connection_timeout=600)
+        self._server = HTTPServer(
+            self._accept, max_body_size=4 * 1024 * 1024, idle_connection_timeout=600, ssl_options=ssl_options
+        )
 
     def listen(self, host: str, port: int) -> None:
         """Begin to accept connections."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -5,20 +5,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-ORDER = [
-    "core",
-    "federation",
-    "wire",
-    "links",
-    "node",
-    "jobs",
-    "archive",
-    "client",
-    "worker",
-    "standin",
-    "local",
-    "cli",
-]
+ORDER = ["core", "wire", "links", "federation", "node", "jobs", "archive", "client", "worker"]
+ORDER += ["standin", "local", "cli"]
 
 
 def test_a_node_imports_nothing_of_what_it_does_not_run():
