A node that alone lacks the state service leaves the balancer early, its parts late

Change: after a second of refusals the peers are asked, and two of their words in a row that they reach it take this node out of /ready; in an outage for all nobody leaves. Parts are given up as before. A test of both times.

--- a/pearstep/core/reach.py
+++ b/pearstep/core/reach.py
@@ -25,6 +25,10 @@
 # them is served a moment before the others.
 WORD_US = 4 * US
 AGREED_US = 2 * US
+# Users are sent elsewhere sooner than parts are given up: that costs a connection, this a takeover. After so
+# long a neighbour is doubted and the peers are asked; two of their words in a row decide.
+DOUBT_US = US
+TWICE_US = 400_000
 # The longest pause before a node that was cut off claims again.
 LONGEST_REST_US = 60 * US
 
@@ -55,6 +59,24 @@
         """The neighbours that have failed for long enough to ask the peers about them."""
         return [n for n, since in self.failing.items() if now_us - since >= self.patience_us[n]]
 
+    def doubts(self, now_us: int) -> list[str]:
+        """The neighbours to ask the peers about: those that are suspect, and the state service early."""
+        out = self.suspects(now_us)
+        if STATE not in out and now_us - self.failing.get(STATE, now_us) >= DOUBT_US:
+            out.append(STATE)
+        return out
+
+    def serves(self, now_us: int) -> bool:
+        """Whether users are well served here. Without the state service they are not, and if a peer reaches
+        it they are better off there; if nobody does, to send them away helps nobody. Seen: the node left the
+        balancer after 8 s, together with its parts, and a third of the users got 503 meanwhile."""
+        if STATE in self.lacks:
+            return False
+        if now_us - self.failing.get(STATE, now_us) < DOUBT_US:
+            return True
+        since, last = self.word.get(STATE, (0, -(1 << 60)))
+        return now_us - last > WORD_US or last - since < TWICE_US
+
     def heard(self, neighbour: str, reached: bool, now_us: int) -> None:
         """What the peers say: whether one of them reaches it."""
         if reached:
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -12,7 +12,6 @@
 
 from ..core.model import MachineType
 from ..core.owner import Owner
-from ..core.reach import STATE
 from ..core.view import View
 from ..links.budget import Budget
 from ..links.clocks import now_us, wall_us
@@ -98,7 +97,7 @@
         if path == wire.READY:
             if request.method != "GET":
                 return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
-            ready = self.follower.loaded and bool(self.types) and STATE not in self.watch.reach.lacks
+            ready = self.follower.loaded and bool(self.types) and self.watch.reach.serves(now_us())
             return (200 if ready else 503), msgspec.json.encode({"ready": ready}), {}
         return self._answer_user(request)
 
--- a/pearstep/node/watch.py
+++ b/pearstep/node/watch.py
@@ -100,7 +100,7 @@
         now = self.now_us()
         self.reach.note(STATE, self.store.refused_since is None, self.store.refused_since or now)
         self._hear_workers(now)
-        suspects = self.reach.suspects(now)
+        suspects = self.reach.doubts(now)
         if suspects and self.mesh.peers:
             await self._ask(suspects)
         if WORKERS in self.reach.lacks:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -24,6 +24,35 @@
     return r.state
 
 
+def ready_for(r, end_s, peers_reach):
+    """Half-second looks without the state service: when users were sent elsewhere, and parts given up."""
+    away = gone = None
+    for half in range(int(end_s * 2)):
+        now = half * US // 2
+        r.note(STATE, False, now)
+        if STATE in r.doubts(now):
+            r.heard(STATE, peers_reach(now), now)
+        r.update(now)
+        away = now / US if away is None and not r.serves(now) else away
+        gone = now / US if gone is None and r.state == LACKING else gone
+    return away, gone
+
+
+def test_users_leave_a_node_that_alone_lacks_the_state_service_long_before_its_parts_do():
+    away, gone = ready_for(reach(), 12, lambda now: True)
+    assert away <= 1.5 < 6 <= gone
+    # In an outage for everyone nobody leaves; nor for a peer that is served a moment before the others.
+    assert ready_for(reach(), 60, lambda now: False) == (None, None)
+    r = reach()
+    assert ready_for(r, 10, lambda now: now == 19 * US // 2) == (None, None)
+    # Back, it serves at once.
+    r = reach()
+    ready_for(r, 3, lambda now: True)
+    r.note(STATE, True, 3 * US)
+    r.update(3 * US)
+    assert r.serves(3 * US)
+
+
 def test_neighbour_that_nobody_reaches_is_an_outage_and_everyone_goes_on():
     for neighbour in NEIGHBOURS:
         assert follow(reach(), neighbour, 10, 100, lambda now: False) == WHOLE
