--- a/measurements/archive_kills.py
+++ b/measurements/archive_kills.py
@@ -14,6 +14,7 @@
 import hashlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -272,6 +273,10 @@
     root = Path(tempfile.mkdtemp(prefix="pearstep-kills-"))
     begun = time.monotonic()
     kills = Kills(root, seed)
+    me = asyncio.current_task()
+    assert me is not None
+    # Told to end, it ends what it started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, me.cancel)
     try:
         await kills.begin()
         numbers = iter(range(1, rounds + 1))
