A task is held at a gate until its agent has written down whom it started

Change: a start waits for a word on a pipe that the agent holds; it comes once process id and start time are on disk, and never if the agent dies before. Tests of both.

--- a/pearstep/worker/processes.py
+++ b/pearstep/worker/processes.py
@@ -99,26 +99,44 @@
     return any((s := _stat(pid)) and s[1] == pgid and s[0] not in "ZX" for pid in _pids())
 
 
+# Waits for a word before it becomes the task. If the agent dies before it has written down whom it started,
+# the word never comes, and nothing was run. Seen: a child that was between fork and exec while a new agent
+# looked for what the former one had left; it bore no mark yet, and wrote to a log that was sealed already.
+GATE = 'read -r go && exec "$@" </dev/null'
+
+
 class Process:
-    """One task's process group."""
+    """One task's process group. It runs nothing before ``go``."""
 
     def __init__(
         self, argv: list[str], folder: Path, env: dict[str, str], stdout: Path, stderr: Path, mark: str
     ) -> None:
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         out, err = os.open(stdout, flags, 0o640), os.open(stderr, flags, 0o640)
+        wait, self._gate = os.pipe()
         try:
             self._popen = subprocess.Popen(
-                argv, cwd=folder, env={**env, MARK: mark}, stdin=subprocess.DEVNULL, stdout=out, stderr=err,
-                start_new_session=True, close_fds=True,
+                ["/bin/sh", "-c", GATE, "pearstep", *argv], cwd=folder, env={**env, MARK: mark}, stdin=wait,
+                stdout=out, stderr=err, start_new_session=True, close_fds=True,
             )  # fmt: skip
+        except BaseException:
+            os.close(self._gate)
+            raise
         finally:
-            os.close(out)
-            os.close(err)
+            for fd in (out, err, wait):
+                os.close(fd)
         self.mark = mark
         self.pid = self._popen.pid
         self.started = Started(self.pid, start_time(self.pid))
 
+    def go(self) -> None:
+        """Let it run: called once it is written down."""
+        try:
+            os.write(self._gate, b"go\n")
+        except BrokenPipeError:
+            pass  # it was ended already
+        os.close(self._gate)
+
     def send(self, name: str) -> None:
         """A signal to the whole group."""
         try:
--- a/pearstep/worker/run.py
+++ b/pearstep/worker/run.py
@@ -102,6 +102,7 @@
             return self.spool
         note.process = self.process.started
         place.note(folder, note)
+        self.process.go()
         return self.spool
 
     def poll(self) -> bool:
--- a/tests/test_worker_parts.py
+++ b/tests/test_worker_parts.py
@@ -256,11 +256,25 @@
     return end
 
 
-def python(tmp_path, code, mark="mark:1"):
+def python(tmp_path, code, mark="mark:1", go=True):
     env = {"PATH": os.environ["PATH"]}
-    return Process(
-        [sys.executable, "-c", code], tmp_path, env, tmp_path / "stdout", tmp_path / "stderr", mark
-    )
+    argv = [sys.executable, "-c", code]
+    process = Process(argv, tmp_path, env, tmp_path / "stdout", tmp_path / "stderr", mark)
+    if go:
+        process.go()
+    return process
+
+
+def test_nothing_runs_if_the_agent_dies_before_it_has_written_down_whom_it_started(tmp_path):
+    process = python(tmp_path, "print('ran')", go=False)
+    os.close(process._gate)  # as the agent's death does
+    assert finish(process).code not in (0, None)
+    assert (tmp_path / "stdout").read_bytes() == b"" == (tmp_path / "stderr").read_bytes()
+
+
+def test_a_task_has_no_input(tmp_path):
+    assert finish(python(tmp_path, "import sys; print(len(sys.stdin.read()))")) == End(0)
+    assert (tmp_path / "stdout").read_text() == "0\n"
 
 
 def test_a_process_that_dies_within_a_write_leaves_exactly_what_it_wrote(tmp_path):
