One piece for what stood twice; copies are compared by the buckets that were touched

Behaviour stays as it is.

Written twice: the reading of YAML settings and their bounds (now links/checked, the node's too), two commands that run a process, the lengths of a start's files, the sentence in a refusal, the rank of a record's copies, a step in the test of three clusters. Who the other members are is asked of the membership; a box only made to call Table.move is Table.check; a stamp that could be derived is gone.

Work done again: each comparison of copies went through all attempts once per peer, and once more for each peer that asked: only touched buckets are gone through. Quotas are counted only where there are any. Records that are lost or past their time go into one commit instead of one each. A description is parsed once.

--- a/pearstep/archive/copies.py
+++ b/pearstep/archive/copies.py
@@ -39,6 +39,7 @@
         self.durable_on = durable_on
         self.pace = pace
         self.repaired = 0  # plain bytes
+        self._digests: dict[int, int] = {}
         self.dropped = 0  # copies that others keep
         self.lacking = 0  # buckets that differed in the last round
 
@@ -52,6 +53,7 @@
             return [Result(503, {}, f"this node is {me.state}", "", RETRY_S)] * len(batch.items)
         results: list[Result | None] = [None] * len(batch.items)
         mine: list[int] = []
+        need: dict[int, int] = {}
         groups: dict[str, list[int]] = defaultdict(list)
         for i, item in enumerate(batch.items):
             owners = layout.owners(bucket_of(item.key.job, item.key.task))
@@ -59,6 +61,7 @@
                 results[i] = Result(421, {}, "another node keeps this", layout.members[owners[0]])
                 continue
             mine.append(i)
+            need[i] = min(self.durable_on, len(owners))
             for owner in owners:
                 if owner != me.name:
                     groups[owner].append(i)
@@ -83,10 +86,8 @@
         for i in mine:
             if results[i] is not None:
                 continue
-            owners = layout.owners(bucket_of(batch.items[i].key.job, batch.items[i].key.task))
-            need = min(self.durable_on, layout.copies, len(owners))
-            if len(confirmed[i]) < need:
-                results[i] = Result(503, {}, f"durable on {len(confirmed[i])} of {need}", "", RETRY_S)
+            if len(confirmed[i]) < need[i]:
+                results[i] = Result(503, {}, f"durable on {len(confirmed[i])} of {need[i]}", "", RETRY_S)
             else:
                 results[i] = Result(200, confirmed[i][0])
         return [r if r is not None else Result(503, {}, "not decided", "", RETRY_S) for r in results]
@@ -146,28 +147,38 @@
             return 0
         done = lacking = 0
         heard: dict[str, dict[int, int]] = {}
-        for peer in sorted(layout.members):
-            if peer == me.name:
-                continue
-            status, data = await self.client.fetch(layout.members[peer], "GET", msg.DIGESTS, timeout_s=10.0)
+        for peer, addr in me.peers.items():
+            status, data = await self.client.fetch(addr, "GET", msg.DIGESTS, timeout_s=10.0)
             if status != 200:
                 continue
             theirs = heard[peer] = msgspec.msgpack.decode(data, type=dict[int, int])
-            mine = digests(await self.writer.call(self.writer.storage.index.bucket_rows))
+            mine = await self.digests()
             for bucket in differing(me.name, layout, mine, peer, theirs):
                 lacking += 1
-                done += await self._mend(layout.members[peer], peer, bucket)
+                done += await self._mend(addr, peer, bucket)
         self.lacking = lacking
         self.repaired += done
         if me.takes and layout is me.layout and not done:
             await self._give_up(layout, heard)
         return done
 
+    async def digests(self) -> dict[int, int]:
+        """A digest of each bucket that holds something. Only buckets that were written to since are gone
+        through again: every peer asks for these every few seconds."""
+        return await self.writer.call(self._follow_digests)
+
+    def _follow_digests(self) -> dict[int, int]:
+        index = self.writer.storage.index
+        for bucket in index.take_touched():
+            self._digests.pop(bucket, None)
+            self._digests.update(digests(index.bucket_rows(bucket)))
+        return dict(self._digests)
+
     async def _give_up(self, layout: Layout, heard: dict[str, dict[int, int]]) -> None:
         """Drop copies that others keep whole. Nothing that is still written is dropped: its keepers only
         look whole until the next byte."""
         index = self.writer.storage.index
-        mine = digests(await self.writer.call(index.bucket_rows))
+        mine = await self.digests()
         for bucket in surplus(self.membership.name, layout, mine, heard):
             lives = await self.writer.call(index.bucket, bucket)
             if lives and all(live.record.state in (SEALED, EXPIRED) for live in lives):
@@ -192,11 +203,8 @@
 
     async def fetch_attempt(self, key: Key) -> bool:
         """Fetch one attempt from whoever has more of it; whether anything came."""
-        layout = self.membership.layout
         came = 0
-        for peer, addr in layout.members.items():
-            if peer == self.membership.name:
-                continue
+        for peer, addr in self.membership.peers.items():
             bucket = bucket_of(key.job, key.task)
             status, data = await self.client.fetch(addr, "GET", f"{msg.BUCKET}/{bucket}", timeout_s=5.0)
             if status != 200:
@@ -237,7 +245,7 @@
             if record.state == "expired" or ((whole or not record.ends) and merge(
                 live.record if live is not None else None, record
             )):  # fmt: skip
-                await self.writer.put_record(record)
+                await self.writer.put_records([record])
         for manifest in todo.manifests:
             if all([await self._fetch_blob(addr, f) for f in manifest.files]):
                 why = await self.writer.call(self.writer.storage.publish, manifest)
--- a/pearstep/archive/index.py
+++ b/pearstep/archive/index.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from .frames import ChunkFrame, DropFrame, File, Frame, JobFrame, ManifestFrame, RecordFrame
-from .placement import bucket_of
+from .placement import BUCKETS, bucket_of
 from .records import EXPIRED, SEALED, STREAMS, Key, Live, Record, merge
 
 SCHEMA = """
@@ -47,6 +47,7 @@
     def __init__(self, path: str) -> None:
         self._db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
         self._lock = threading.Lock()
+        self._touched = set(range(BUCKETS))
         with self._lock:
             self._db.execute("pragma journal_mode=wal")
             # What is lost of it in a power cut is read again from the segments.
@@ -84,6 +85,9 @@
             "insert into segments values(?, ?, 0) on conflict do update set size = max(size, excluded.size)",
             (seg, at + size),
         )
+        if not isinstance(frame, JobFrame):
+            # What was touched and then rolled back is only gone through once more.
+            self._touched.update(bucket_of(key.job, key.task) for key in _keys(frame))
         if isinstance(frame, RecordFrame):
             rowid, mine, old = self._row(db, frame.record.key)
             if not merge(mine, frame.record) and (mine is None or frame.record.version != mine.version):
@@ -284,11 +288,21 @@
         rows = self._all("select id, record from attempts where bucket=? and record is not null", bucket)
         return [Live(_record.decode(raw), self._have(rowid)) for rowid, raw in rows]
 
-    def bucket_rows(self) -> list[tuple[int, str, int, int, str, int, int, str, int]]:
-        """What copies are compared by: bucket, key, version, state, and bytes of each attempt."""
+    def take_touched(self) -> list[int]:
+        """The buckets that were written to since this was last asked; all of them the first time."""
+        with self._lock:
+            out, self._touched = sorted(self._touched), set()
+        return out
+
+    def bucket_rows(
+        self, bucket: int | None = None
+    ) -> list[tuple[int, str, int, int, str, int, int, str, int]]:
+        """What copies are compared by: bucket, key, version, state, and plain bytes of each attempt. (Copies
+        of the same bytes may have been cut into other chunks.)"""
+        where, args = ("bucket=? and ", (bucket,)) if bucket is not None else ("", ())
         return self._all(
             "select bucket, job, task, attempt, machine, start, version, state, plain from attempts"
-            " where record is not null order by bucket, job, task, attempt, machine, start"
+            f" where {where}record is not null order by bucket, job, task, attempt, machine, start", *args
         )  # type: ignore[return-value]
 
     def segments(self) -> list[tuple[int, int, int]]:
@@ -323,3 +337,10 @@
         """A segment that was removed."""
         with self._lock:
             self._db.execute("delete from segments where segment=?", (segment,))
+
+
+def _keys(frame: RecordFrame | ChunkFrame | ManifestFrame | DropFrame) -> list[Key]:
+    """The attempts that a frame is about."""
+    if isinstance(frame, DropFrame):
+        return frame.keys
+    return [frame.record.key if isinstance(frame, RecordFrame) else frame.key]
--- a/pearstep/archive/members.py
+++ b/pearstep/archive/members.py
@@ -94,6 +94,11 @@
     def _settle(self) -> None:
         MEMBERSHIP.move(self, MEMBER if self.layout.members.get(self.name) == self.addr else JOINING)
 
+    @property
+    def peers(self) -> dict[str, str]:
+        """The other members' addresses by name, in order."""
+        return {name: addr for name, addr in sorted(self.layout.members.items()) if name != self.name}
+
     @property
     def takes(self) -> bool:
         """Whether this node may confirm writes."""
@@ -131,20 +136,16 @@
             return
         present: dict[str, str] = {}
         listed: dict[str, str] | None = None
-        epoch = stamp = 0
+        epoch = 0
         for pair in listing[0]:
             if pair.key == LIST:
                 listed = msgspec.json.decode(pair.value, type=MemberList).members
                 epoch = pair.version
             elif pair.key.startswith(NODES):
-                name = pair.key[len(NODES) :]
-                present[name] = msgspec.json.decode(pair.value, type=Here).addr
-                if name == me.name:
-                    stamp = pair.version
+                present[pair.key[len(NODES) :]] = msgspec.json.decode(pair.value, type=Here).addr
         if self.lease is None:
             self.lease = await self.store.grant(me.lease_us // 1000)
-            stamp = 0 if me.name not in present else stamp
-        if self.lease is not None and (present.get(me.name) != me.addr or stamp == 0):
+        if self.lease is not None and present.get(me.name) != me.addr:
             done = await self.store.txn({}, {NODES + me.name: (Here(me.addr), self.lease)}, [])
             if done.state == NO_LEASE:
                 self.lease = None
--- a/pearstep/archive/reading.py
+++ b/pearstep/archive/reading.py
@@ -10,7 +10,7 @@
 from . import messages as msg
 from .frames import ManifestFrame
 from .members import Membership
-from .records import EXPIRED, OPEN, Key, Live
+from .records import RANK, Key, Live
 from .writer import Writer
 
 MOST_READ = 1024 * 1024
@@ -108,9 +108,8 @@
 
     async def everywhere(self, job: str, task: int | None) -> Found:
         """Attempts as told by the node that has the most of each, ordered by task and attempt."""
-        me = self.membership
         query = f"{msg.ATTEMPTS}?job={job}&local=1" + (f"&task={task}" if task is not None else "")
-        peers = {name: addr for name, addr in me.layout.members.items() if name != me.name}
+        peers = self.membership.peers
         answers = await asyncio.gather(
             *(self.client.fetch(a, "GET", query, timeout_s=5.0) for a in peers.values())
         )
@@ -162,5 +161,4 @@
 
 
 def _more(a: AttemptFacts, b: AttemptFacts) -> bool:
-    rank = {OPEN: 0, "lost": 0, "sealed": 1, EXPIRED: 2}
-    return (rank[a.state], sum(a.have.values()), a.version) > (rank[b.state], sum(b.have.values()), b.version)
+    return (RANK[a.state], sum(a.have.values()), a.version) > (RANK[b.state], sum(b.have.values()), b.version)
--- a/pearstep/archive/records.py
+++ b/pearstep/archive/records.py
@@ -25,6 +25,9 @@
     },
 )
 
+# Of two copies of a record the further one is the newer; lost is as far as open, since it may go on.
+RANK = {OPEN: 0, LOST: 0, SEALED: 1, EXPIRED: 2}
+
 # How an attempt ended. A halted one was told to stop; a killed one had no time to end by itself.
 CAUSES = ("done", "error", "halted", "saved", "killed", "mates gone", "alone")
 STREAMS = ("stdout", "stderr")
@@ -214,5 +217,4 @@
     """Whether a copy's record is newer than what is here. A record that ended beats one that is lost."""
     if mine is None:
         return True
-    rank = {OPEN: 0, LOST: 0, SEALED: 1, EXPIRED: 2}
-    return (rank[other.state], other.version) > (rank[mine.state], mine.version)
+    return (RANK[other.state], other.version) > (RANK[mine.state], mine.version)
--- a/pearstep/archive/service.py
+++ b/pearstep/archive/service.py
@@ -30,7 +30,7 @@
 from .placement import bucket_of
 from .reading import Reading, Unread
 from .records import STREAMS, Key
-from .repair import Pace, digests
+from .repair import Pace
 from .retention import Room, expire
 from .settings import ArchiveSettings
 from .storage import Storage
@@ -150,16 +150,16 @@
 
     async def _upkeep(self) -> None:
         """Room, silent writers, retention and reclaiming: one small step of each."""
-        used = await self.writer.call(self.index.used)
+        # Counting goes through all attempts: only where somebody has a quota.
+        used = await self.writer.call(self.index.used) if self.room.quotas else {}
         self.room.counted(used, self.disk.free())
         for record in await self.writer.lose_silent(int(self.settings.lost_after_s * US), wall_us()):
             log.warning("attempt lost", attempt=record.key.text(), have=record.lost_from)
         now = wall_us()
         retention = self.settings.retention
         for cls, age_us in retention.rules():
-            for record in await self.writer.call(self.index.ended_before, cls, now - age_us, 256):
-                if retention.due(record, now):
-                    await self.writer.put_record(expire(record))
+            ended = await self.writer.call(self.index.ended_before, cls, now - age_us, 256)
+            await self.writer.put_records([expire(r) for r in ended if retention.due(r, now)])
         if await self.writer.call(self.storage.reclaim):
             await self.writer.call(self.storage.sweep_blobs)
 
@@ -308,7 +308,7 @@
     async def _job(self, request: HTTPServerRequest, job: str) -> Answer:
         if not REF.match(job):
             return refusal(400, "a job's id is req- and up to 20 digits")
-        peers = [a for n, a in self.membership.layout.members.items() if n != self.membership.name]
+        peers = list(self.membership.peers.values())
         local = bool(_arg(request, "local"))
         if request.method == "GET":
             body = self.index.job(job)
@@ -352,7 +352,7 @@
         }), {}  # fmt: skip
 
     async def _digests(self, request: HTTPServerRequest) -> Answer:
-        return 200, msg.encode(digests(await self.writer.call(self.index.bucket_rows))), {}
+        return 200, msg.encode(await self.copies.digests()), {}
 
     async def _board(self, request: HTTPServerRequest) -> Answer:
         post = msgspec.json.decode(request.body, type=Post)
--- a/pearstep/archive/settings.py
+++ b/pearstep/archive/settings.py
@@ -2,20 +2,14 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
-import yaml
 from msgspec import Meta
 
+from ..links.checked import Address, Count, NotNegative, Positive, read
 from .retention import Retention
 
-Positive = Annotated[float, Meta(gt=0)]
-NotNegative = Annotated[float, Meta(ge=0)]
-Count = Annotated[int, Meta(ge=1)]
-Address = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
-
 
 class ArchiveError(Exception):
     """A setting is missing or wrong; the text is one line for the operator."""
@@ -49,11 +43,7 @@
 
 def load(file: str) -> ArchiveSettings:
     """Read and check a file; raises ArchiveError with one line."""
-    try:
-        raw = yaml.safe_load(Path(file).read_text()) or {}
-        settings = msgspec.convert(raw, ArchiveSettings, strict=False)
-    except (OSError, yaml.YAMLError, msgspec.ValidationError) as err:
-        raise ArchiveError(f"{file}: {' '.join(str(err).split())}") from None
+    settings = read(file, ArchiveSettings, ArchiveError)
     if settings.durable_on > settings.copies:
         raise ArchiveError(f"{file}: durable_on may be at most copies ({settings.copies})")
     if settings.copies > 1 and not settings.state:
--- a/pearstep/archive/writer.py
+++ b/pearstep/archive/writer.py
@@ -168,12 +168,14 @@
                 live.heard_us = heard.get(record.key, self.now_us())
                 self.open[record.key] = live
 
-    async def put_record(self, record: Record) -> None:
-        """Store a record that a peer or a rule has changed."""
-        live = self.known(record.key)
-        have = live.have if live is not None else {}
-        self._remember(Live(record, dict(have), self.now_us()))
-        await self.write([RecordFrame(record)])
+    async def put_records(self, records: list[Record]) -> None:
+        """Store records that a peer or a rule has changed, in one commit."""
+        for record in records:
+            live = self.known(record.key)
+            have = live.have if live is not None else {}
+            self._remember(Live(record, dict(have), self.now_us()))
+        if records:
+            await self.write([RecordFrame(record) for record in records])
 
     async def drop(self, keys: list[Key]) -> None:
         """Give up copies that others keep."""
@@ -195,8 +197,7 @@
         """Mark attempts whose writer was not heard for too long."""
         now = self.now_us()
         lost = [lose(live, wall_us) for live in list(self.open.values()) if now - live.heard_us > silent_us]
-        for record in lost:
-            await self.put_record(record)
+        await self.put_records(lost)
         return lost
 
     def close(self) -> None:
--- a/pearstep/cli/common.py
+++ b/pearstep/cli/common.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import click
 import msgspec
@@ -31,7 +31,7 @@
         self.archive = ArchiveClient(self.http, list(self.cluster.archives.values()))
 
 
-def fail(why: str, code: int) -> None:
+def fail(why: str, code: int) -> NoReturn:
     """One line on standard error, and the exit code."""
     click.echo(f"pearstep: {why}", err=True)
     sys.exit(code)
--- a/pearstep/cli/logs.py
+++ b/pearstep/cli/logs.py
@@ -42,7 +42,6 @@
     found = await clients.archive.look(ref, task)
     if found is None:
         fail(f"{ref}: no such job in the archive", NO)
-        return []
     if not found.certain:
         silent = ", ".join(found.silent) or "some"
         click.echo(f"[pearstep: archive nodes are silent ({silent}); attempts may be missing]", err=True)
@@ -163,7 +162,6 @@
     files = [f for f in chosen["artefacts"] if name in (None, f["name"])] if chosen else []
     if chosen is None or not files:
         fail(f"{ref}: task {task} has no such file; see `pearstep artefacts list {ref}`", NO)
-        return NO
     total = sum(f["size"] for f in files)
     quiet = output == "json" or not sys.stderr.isatty()
     with click.progressbar(length=total, label="artefacts", file=sys.stderr, hidden=quiet) as bar:
--- a/pearstep/cli/services.py
+++ b/pearstep/cli/services.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -13,49 +14,51 @@
 
 from ..links import logs
 
+config_option = click.option(
+    "--config", required=True, metavar="FILE", help="Settings (YAML), see docs/operators/logs.md."
+)
+check_option = click.option("--check", is_flag=True, help="Check the settings and exit.")
 
-@click.command()
-@click.option("--config", required=True, metavar="FILE", help="Settings (YAML), see docs/operators/logs.md.")
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-def worker(config: str, check: bool) -> None:
-    """Run a machine's worker until it is killed."""
-    from ..worker.folder import AgentRuns
-    from ..worker.settings import WorkerError, load
 
+def _serve(
+    config: str, check: bool, load: Callable[[str], Any], run: Callable[[Any], None],
+    errors: tuple[type[Exception], ...],
+) -> None:  # fmt: skip
+    """Run a process on a settings file; what it raises of its own is one line and exit 2."""
     logs.configure()
     try:
         settings = load(config)
         if check:
             click.echo("settings are valid")
             return
-        from ..worker.agent import run
-
         run(settings)
-    except (WorkerError, AgentRuns, TimeoutError) as err:
+    except errors as err:
         click.echo(f"pearstep: {err}", err=True)
         sys.exit(2)
 
 
 @click.command()
-@click.option("--config", required=True, metavar="FILE", help="Settings (YAML), see docs/operators/logs.md.")
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@config_option
+@check_option
+def worker(config: str, check: bool) -> None:
+    """Run a machine's worker until it is killed."""
+    from ..worker.agent import run
+    from ..worker.folder import AgentRuns
+    from ..worker.settings import WorkerError, load
+
+    _serve(config, check, load, run, (WorkerError, AgentRuns, TimeoutError))
+
+
+@click.command()
+@config_option
+@check_option
 def archive(config: str, check: bool) -> None:
     """Run an archive node until it is killed."""
     from ..archive.frames import Damaged
+    from ..archive.service import run
     from ..archive.settings import ArchiveError, load
 
-    logs.configure()
-    try:
-        settings = load(config)
-        if check:
-            click.echo("settings are valid")
-            return
-        from ..archive.service import run
-
-        run(settings)
-    except (ArchiveError, Damaged) as err:
-        click.echo(f"pearstep: {err}", err=True)
-        sys.exit(2)
+    _serve(config, check, load, run, (ArchiveError, Damaged))
 
 
 @click.group(hidden=True)
--- a/pearstep/cli/up.py
+++ b/pearstep/cli/up.py
@@ -40,7 +40,6 @@
         )
     except LayoutError as err:
         fail(str(err), WRONG)
-        return
     sys.exit(asyncio.run(_run(root, cluster, job, once)))
 
 
--- a/pearstep/client/archive.py
+++ b/pearstep/client/archive.py
@@ -108,7 +108,7 @@
             if status in (0, 404, 429, 503):
                 raise ArchiveAway(f"{addr} answers {status}")
             if status != 200:
-                return _reason(data)
+                return reason(data)
         return ""
 
     async def _upload(self, addr: str, team: str, path: Path, file: File) -> str:
@@ -124,7 +124,7 @@
                 if status in (0, 429, 503):
                     raise ArchiveAway(f"{addr} answers {status}")
                 if status != 200:
-                    return _reason(data)
+                    return reason(data)
                 answer = msgspec.json.decode(data)
                 if answer.get("known"):
                     return ""
@@ -141,7 +141,7 @@
         if status == 404:
             return None
         if status != 200:
-            raise ArchiveAway(f"the archive answers {status}: {_reason(data)}")
+            raise ArchiveAway(f"the archive answers {status}: {reason(data)}")
         return msgspec.json.decode(data, type=Found)
 
     async def attempts(self, job: str, task: int | None = None) -> list[dict[str, Any]] | None:
@@ -158,7 +158,7 @@
             "POST", f"{msg.LOG}?stream={stream}&from={begin}&most={PART}", msg.encode(key)
         )
         if status != 200:
-            raise ArchiveAway(f"the archive answers {status}: {_reason(data)}")
+            raise ArchiveAway(f"the archive answers {status}: {reason(data)}")
         return msgspec.msgpack.decode(data, type=tuple[bytes, list[tuple[int, int]]])
 
     async def blob(self, key: Key, content: str, size: int) -> AsyncIterator[bytes]:
@@ -190,7 +190,8 @@
     return sha.hexdigest(), size
 
 
-def _reason(data: bytes) -> str:
+def reason(data: bytes) -> str:
+    """The sentence in a refusal."""
     try:
         return str(msgspec.json.decode(data).get("error", ""))
     except (msgspec.MsgspecError, AttributeError):
--- a/pearstep/client/jobs.py
+++ b/pearstep/client/jobs.py
@@ -5,14 +5,12 @@
 import asyncio
 import random
 
-import msgspec
-
 from ..jobs.description import Description, encode
 from ..links.clocks import now_us
 from ..links.http import Client
 from ..wire import user as wire
 from ..wire.node import JOBS
-from .archive import ArchiveClient
+from .archive import ArchiveClient, reason
 
 PATIENCE_US = 60_000_000
 REPEATED = (0, 429, 500, 502, 503, 504)
@@ -62,13 +60,13 @@
             if status in (200, 201):
                 break
             if status not in REPEATED:
-                raise Rejected(_reason(data))
+                raise Rejected(reason(data))
             if now_us() >= until:
-                raise Away(f"the archive answers {status}: {_reason(data)}")
+                raise Away(f"the archive answers {status}: {reason(data)}")
             await asyncio.sleep(0.5)
         status, data = await self._ask("POST", JOBS, wire.submission_body(job.submission(ref)))
         if status not in (200, 201):
-            raise Rejected(_reason(data))
+            raise Rejected(reason(data))
         return ref
 
     async def status(self, ref: str, patience_us: int = PATIENCE_US) -> wire.JobStatus | None:
@@ -80,10 +78,3 @@
         """Cancel, and say what it is now; None if there is no such job."""
         status, data = await self._ask("POST", wire.cancel_path(ref), b"")
         return wire.read_status(data) if status == 200 else None
-
-
-def _reason(data: bytes) -> str:
-    try:
-        return str(msgspec.json.decode(data).get("error", ""))
-    except (msgspec.MsgspecError, AttributeError):
-        return data[:200].decode(errors="replace")
--- a/pearstep/core/states.py
+++ b/pearstep/core/states.py
@@ -24,8 +24,10 @@
 
     def move(self, thing: Stateful, to: str) -> None:
         """Change the state; staying where one is is always allowed."""
-        if thing.state == to:
-            return
-        if to not in self.moves[thing.state]:
-            raise IllegalMove(f"{self.name}: {thing.state} -> {to}")
+        self.check(thing.state, to)
         thing.state = to
+
+    def check(self, state: str, to: str) -> None:
+        """Raise IllegalMove if the table does not allow it: for states of records that are replaced whole."""
+        if state != to and to not in self.moves[state]:
+            raise IllegalMove(f"{self.name}: {state} -> {to}")
--- a/pearstep/federation/handoff.py
+++ b/pearstep/federation/handoff.py
@@ -130,11 +130,8 @@
 
 def _home(loan: HomeLoan, to: str, **fields: object) -> HomeLoan:
     """The only place where a home record changes its state."""
-    new = msgspec.structs.replace(loan, **fields)
-    if to != loan.state:
-        HOME.move(_Box(loan.state), to)
-        new = msgspec.structs.replace(new, state=to)
-    return _settle(new)
+    HOME.check(loan.state, to)
+    return _settle(msgspec.structs.replace(loan, state=to, **fields))
 
 
 def _settle(loan: HomeLoan) -> HomeLoan:
@@ -150,16 +147,8 @@
 
 def _guest(loan: GuestLoan, to: str, **fields: object) -> GuestLoan:
     """The only place where a guest's record changes its state."""
-    new = msgspec.structs.replace(loan, **fields)
-    if to != loan.state:
-        GUEST.move(_Box(loan.state), to)
-        new = msgspec.structs.replace(new, state=to)
-    return new
-
-
-class _Box:
-    def __init__(self, state: str) -> None:
-        self.state = state
+    GUEST.check(loan.state, to)
+    return msgspec.structs.replace(loan, state=to, **fields)
 
 
 # -- home ----------------------------------------------------------------------------------------
--- a/pearstep/jobs/description.py
+++ b/pearstep/jobs/description.py
@@ -10,9 +10,9 @@
 import yaml
 from msgspec import Meta
 
+from ..wire.node import Amount, Seconds
+
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
-Amount = Annotated[float, Meta(ge=0, le=1e6)]
-Seconds = Annotated[float, Meta(ge=0, le=1e8)]
 Kind = Annotated[str, Meta(pattern="^(array|gang|service)$")]
 Priority = Annotated[str, Meta(pattern="^(critical|high|normal|low)$")]
 Signal = Annotated[str, Meta(pattern="^(TERM|INT|USR1|USR2|HUP)$")]
@@ -130,8 +130,9 @@
     """Read a description in YAML. Files named in a list under ``run.files`` are read from ``base``; a mapping
     holds them itself. Raises DescriptionError with line and field."""
     try:
-        root = yaml.compose(text, yaml.SafeLoader)
-        raw = yaml.safe_load(text)
+        loader = yaml.SafeLoader(text)
+        root = loader.get_single_node()
+        raw = None if root is None else loader.construct_document(root)
     except yaml.YAMLError as err:
         raise DescriptionError(f"{name}: {' '.join(str(err).split())}") from None
     if not isinstance(raw, dict):
--- a/pearstep/node/settings.py
+++ b/pearstep/node/settings.py
@@ -13,10 +13,7 @@
 
 from ..core.model import US, Team
 from ..core.orders import OwnerConfig
-
-Positive = Annotated[float, Meta(gt=0)]
-NotNegative = Annotated[float, Meta(ge=0)]
-Count = Annotated[int, Meta(ge=1)]
+from ..links.checked import Count, NotNegative, Positive
 
 
 class SettingsError(Exception):
--- a/pearstep/worker/agent.py
+++ b/pearstep/worker/agent.py
@@ -253,7 +253,7 @@
             save_us = 0 if job is None else int(job.save_s * US)
             effects = self.session.described(run.key, need, gang, saves, save_us, done, now_us())
             if not effects:
-                self._forget_unstarted(run)
+                run.move(OVER)
             self._carry_out(effects)
             self.due.set()
             return
@@ -277,9 +277,6 @@
         known = await self.archive.attempts(run.job, None if job.kind == "gang" else run.task)
         return job, any(a["cause"] == "done" for a in known or ())
 
-    def _forget_unstarted(self, run: Run) -> None:
-        run.move(OVER)
-
     def _start(self, run: Run) -> None:
         spool = run.start(self.place, self.settings.machine, self.settings.checkpoints)
         assert run.folder is not None
@@ -306,7 +303,7 @@
     def _kill(self, run: Run) -> None:
         if run.state in (PREPARING, GATHERING):
             self.gangs.drop(run, mt.GONE)
-            self._forget_unstarted(run)
+            run.move(OVER)
             return
         run.killed = True
         if run.state in (RUNNING, STOPPING) and run.process is not None and run.end is None:
--- a/pearstep/worker/folder.py
+++ b/pearstep/worker/folder.py
@@ -137,4 +137,10 @@
 
 def lengths(folder: Path) -> dict[str, int]:
     """How much each stream of a start holds."""
-    return {n: (folder / n).stat().st_size if (folder / n).exists() else 0 for n in STREAMS}
+    out = {}
+    for name in STREAMS:
+        try:
+            out[name] = os.stat(folder / name).st_size
+        except FileNotFoundError:
+            out[name] = 0
+    return out
--- a/pearstep/worker/settings.py
+++ b/pearstep/worker/settings.py
@@ -2,17 +2,12 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
-import yaml
 from msgspec import Meta
 
-Positive = Annotated[float, Meta(gt=0)]
-NotNegative = Annotated[float, Meta(ge=0)]
-Count = Annotated[int, Meta(ge=1)]
-Address = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+from ..links.checked import Address, NotNegative, Positive, read
 
 
 class WorkerError(Exception):
@@ -51,11 +46,7 @@
 
 def load(file: str) -> WorkerSettings:
     """Read and check a file; raises WorkerError with one line."""
-    try:
-        raw = yaml.safe_load(Path(file).read_text()) or {}
-        settings = msgspec.convert(raw, WorkerSettings, strict=False)
-    except (OSError, yaml.YAMLError, msgspec.ValidationError) as err:
-        raise WorkerError(f"{file}: {' '.join(str(err).split())}") from None
+    settings = read(file, WorkerSettings, WorkerError)
     if not settings.nodes:
         raise WorkerError(f"{file}: `nodes` names no controller")
     return settings
--- a/pearstep/worker/shipping.py
+++ b/pearstep/worker/shipping.py
@@ -16,6 +16,7 @@
 from ..archive.records import Append, Chunk
 from ..client.archive import ArchiveClient
 from ..links.clocks import now_us
+from .folder import lengths
 from .processes import punch
 from .spool import GIVEN_UP, LIVE, SEALED, Piece, Spooled, over_bound
 
@@ -58,7 +59,7 @@
         now = now_us()
         for spool, folder in self.spools.items():
             if spool.state == LIVE:
-                spool.grown(sizes(folder, list(spool.streams)))
+                spool.grown(lengths(folder))
         self._keep_bound()
         if self.archive.layout is None or now - self._refreshed_us > REFRESH_US:
             self._refreshed_us = now
@@ -147,17 +148,6 @@
                 self.dropped += length
 
 
-def sizes(folder: Path, streams: list[str]) -> dict[str, int]:
-    """How long each stream's file is."""
-    out = {}
-    for name in streams:
-        try:
-            out[name] = os.stat(folder / name).st_size
-        except FileNotFoundError:
-            out[name] = 0
-    return out
-
-
 def read(path: Path, offset: int, length: int) -> bytes:
     """Bytes of a file."""
     fd = os.open(path, os.O_RDONLY)
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -66,6 +66,10 @@
 
     @rule(key=jobs_, task=st.integers(0, 1), done=st.booleans())
     def task(self, key, task, done):
+        self.turn(key, task, done)
+
+    def turn(self, key, task, done):
+        """A task that runs ends, done or not; one that may starts."""
         run = (*key, task)
         cluster = self.runs.get(run)
         if cluster is None:
@@ -155,29 +159,13 @@
                     self.where[key] = present
             for key in list(self.jobs):
                 for task in (0, 1):
-                    self.task_step(key, task)
+                    self.turn(key, task, True)
                 for g in NAMES:
                     if g != key[0] and not any(r[:2] == key and c == g for r, c in self.runs.items()):
                         self.put_guest((*key, g), ho.stopped(self.guest[(*key, g)]))
         assert all(loan.answer for loan in self.jobs.values())
         assert all(loan.state == ho.NONE for loan in self.guest.values())
 
-    def task_step(self, key, task):
-        run = (*key, task)
-        cluster = self.runs.get(run)
-        if cluster is None:
-            if self.jobs[key].startable >> task & 1:
-                self.start(run, key[0])
-            for g in NAMES:
-                if g != key[0] and self.guest[(*key, g)].startable >> task & 1:
-                    self.start(run, g)
-        elif cluster == key[0]:
-            del self.runs[run]
-            self.put_home(key, (ho.done_at_home(self.jobs[key], task), []))
-        else:
-            del self.runs[run]
-            self.put_guest((*key, cluster), ho.done_at_guest(self.guest[(*key, cluster)], task))
-
 
 ThreeClusters.TestCase.settings = settings(max_examples=60, stateful_step_count=60, deadline=None)
 TestThreeClusters = ThreeClusters.TestCase
