Images and checkpoints live in the archive; records of expired attempts go

Need: three things of the archive were open. An image was a name only; what tasks saved stayed in a folder that machines had to share, so a task that was stopped on one machine began anew on the next; the record of an expired attempt stayed for ever.

Change: `pearstep images push|list`; a machine fetches an image once for all tasks that want it, verified by digest, kept within a bound and never removed while in use. What a task saved is moved aside before its end is written down, packed, published with its attempt, and only then reported as saved; a gang goes on from the last attempt that all members saved; an agent that was killed in between brings it later. Records go `record_days` after they expired, decided by each node from the record alone; repair does not bring them back and a writer that comes years late is told 410.

--- a/pearstep/archive/copies.py
+++ b/pearstep/archive/copies.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections import defaultdict
+from collections.abc import Callable
 
 import msgspec
 
@@ -18,7 +19,7 @@
 from .members import Membership
 from .messages import Result
 from .placement import Layout, bucket_of
-from .records import EXPIRED, SEALED, Append, Key, Live, merge
+from .records import EXPIRED, SEALED, Append, Key, Live, Record, merge
 from .repair import Pace, Plan, differing, digests, plan, surplus
 from .writer import RETRY_S, Writer
 
@@ -32,12 +33,14 @@
 
     def __init__(
         self, client: Client, membership: Membership, writer: Writer, durable_on: int, pace: Pace,
+        forgotten: Callable[[Record], bool] = lambda record: False,
     ) -> None:  # fmt: skip
         self.client = client
         self.membership = membership
         self.writer = writer
         self.durable_on = durable_on
         self.pace = pace
+        self._forgotten = forgotten
         self.repaired = 0  # plain bytes
         self._digests: dict[int, int] = {}
         self.dropped = 0  # copies that others keep
@@ -240,6 +243,8 @@
                     self.pace.spend(sum(len(c.data) for c in chunks), self.writer.now_us()) / 1e6
                 )
         for record in todo.records:
+            if self._forgotten(record):
+                continue  # gone here already; the other will drop it too
             live = self.writer.known(record.key)
             whole = live is not None and all(live.have.get(s, 0) >= e for s, e in record.ends.items())
             if record.state == "expired" or ((whole or not record.ends) and merge(
--- a/pearstep/archive/index.py
+++ b/pearstep/archive/index.py
@@ -279,6 +279,14 @@
         )  # fmt: skip
         return [_record.decode(r[0]) for r in rows]
 
+    def expired_before(self, at_us: int, most: int) -> list[Record]:
+        """Records without bytes of attempts that ended before a time of day, oldest first."""
+        rows = self._all(
+            "select record from attempts where state=? and ended_us < ? order by ended_us limit ?",
+            EXPIRED, at_us, most,
+        )  # fmt: skip
+        return [_record.decode(r[0]) for r in rows]
+
     def used(self) -> dict[str, int]:
         """Bytes by team."""
         return dict(self._all("select team, sum(bytes) from attempts where state != 'expired' group by team"))
--- /dev/null
+++ b/pearstep/archive/packs.py
@@ -0,0 +1,67 @@
+"""Folders as one file: an image or a checkpoint is packed as a tar archive, so that modes stay and it is
+there whole or not at all. What is unpacked can't leave its folder (tarfile's ``data`` filter)."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import shutil
+import tarfile
+from pathlib import Path
+
+PART = 1024 * 1024
+
+
+class BadPack(Exception):
+    """Not a pack, or one that would write outside its folder; the text says which."""
+
+
+def pack_folder(folder: Path, target: Path) -> int:
+    """Pack the files of a folder, in order of their names and without times and owners: the same files make
+    the same bytes, so that what was pushed before is known by its digest. Returns the size in bytes."""
+
+    def plain(info: tarfile.TarInfo) -> tarfile.TarInfo:
+        info.uid = info.gid = info.mtime = 0
+        info.uname = info.gname = ""
+        return info
+
+    beside = target.with_name(target.name + ".part")
+    with tarfile.open(beside, "w", format=tarfile.PAX_FORMAT) as out:
+        for path in sorted(folder.rglob("*")):
+            if path.is_symlink() or path.is_file() or path.is_dir():
+                out.add(path, path.relative_to(folder).as_posix(), recursive=False, filter=plain)
+    size = beside.stat().st_size
+    os.replace(beside, target)
+    return size
+
+
+def unpack_folder(pack: Path, folder: Path) -> int:
+    """Unpack beside and rename: the folder is there whole or not at all. An older one is replaced. Returns
+    the plain bytes. Raises BadPack."""
+    beside = folder.with_name(folder.name + ".part")
+    shutil.rmtree(beside, ignore_errors=True)
+    beside.mkdir(parents=True)
+    try:
+        with tarfile.open(pack) as source:
+            source.extractall(beside, filter="data")
+    except (tarfile.TarError, OSError, ValueError) as err:
+        shutil.rmtree(beside, ignore_errors=True)
+        raise BadPack(f"{pack.name}: {err}") from None
+    if folder.exists():
+        shutil.rmtree(folder)
+    os.replace(beside, folder)
+    return size_of(folder)
+
+
+def size_of(folder: Path) -> int:
+    """Bytes of all files below a folder."""
+    return sum(p.lstat().st_size for p in folder.rglob("*") if p.is_file() and not p.is_symlink())
+
+
+def digest_of(path: Path) -> str:
+    """SHA-256 of a file, in hexadecimal."""
+    sha = hashlib.sha256()
+    with open(path, "rb") as source:
+        while part := source.read(PART):
+            sha.update(part)
+    return sha.hexdigest()
--- a/pearstep/archive/retention.py
+++ b/pearstep/archive/retention.py
@@ -11,14 +11,18 @@
 from .records import EXPIRED, Record, change
 
 DAY_US = 86_400 * US
+IMAGE_CLASS = "image"
 NotNegative = Annotated[float, Meta(ge=0)]
 
 
 class Retention(msgspec.Struct, forbid_unknown_fields=True):
-    """Days that ended attempts are kept, by class; ``default_days`` for all others. 0: for ever."""
+    """Days that ended attempts are kept, by class; ``default_days`` for all others. 0: for ever. After that
+    the record alone is left, which says that the attempt was there; after ``record_days`` more it goes too
+    (0: never). Images are kept until they are removed by hand."""
 
     default_days: NotNegative = 0.0
     classes: dict[str, NotNegative] = {}
+    record_days: NotNegative = 365.0
 
     def rules(self) -> list[tuple[str, int]]:
         """(class, age in microseconds) for all that ends at some time; the class '' is the rest."""
@@ -29,9 +33,23 @@
 
     def due(self, record: Record, wall_us: int) -> bool:
         """Whether a record is past its time."""
-        days = self.classes.get(record.cls, self.default_days)
+        days = 0.0 if record.cls == IMAGE_CLASS else self.classes.get(record.cls, self.default_days)
         return bool(days) and record.ended_us > 0 and wall_us - record.ended_us >= days * DAY_US
 
+    def forgotten(self, record: Record, wall_us: int) -> bool:
+        """Whether nothing of an attempt need be known any more. It follows from the record alone, so that all
+        copies go without a word between the nodes."""
+        days = self.classes.get(record.cls, self.default_days) + self.record_days
+        return (
+            record.state == EXPIRED and bool(self.record_days) and wall_us - record.ended_us >= days * DAY_US
+        )
+
+    def too_old(self, cls: str, opened_us: int, wall_us: int) -> bool:
+        """Whether an attempt that nobody here knows may be one whose record is gone: a worker that comes back
+        after years must not open it a second time."""
+        kept = 0.0 if cls == IMAGE_CLASS else self.classes.get(cls, self.default_days)
+        return bool(kept and self.record_days) and wall_us - opened_us >= (kept + self.record_days) * DAY_US
+
 
 def expire(record: Record) -> Record:
     """The record that is left of an attempt past its time."""
--- a/pearstep/archive/service.py
+++ b/pearstep/archive/service.py
@@ -31,7 +31,7 @@
 from .reading import Reading, Unread
 from .records import STREAMS, Key
 from .repair import Pace
-from .retention import Room, expire
+from .retention import DAY_US, Room, expire
 from .settings import ArchiveSettings
 from .storage import Storage
 from .writer import RETRY_S, Writer
@@ -39,7 +39,9 @@
 log = structlog.get_logger("pearstep.archive")
 
 MB = 1024 * 1024
-REF = re.compile(r"^req-[0-9]{1,20}$")
+# Users' jobs, those lent by a peer, and images.
+REF = re.compile(r"^(req-[0-9]{1,20}|lent-[a-z0-9-]{1,120})$")
+NAMED = re.compile(r"^(req-[0-9]{1,20}|lent-[a-z0-9-]{1,120}|img-[a-z0-9][a-z0-9._-]{0,60})$")
 MOST_JOB = 64 * 1024
 _key = msgspec.msgpack.Decoder(Key)
 
@@ -70,7 +72,11 @@
         self.room = Room(
             int(settings.reserve_mb * MB), {t: int(q * MB) for t, q in settings.quotas_mb.items()}
         )
-        self.writer = Writer(self.storage, self.room, now_us)
+        keep = settings.retention
+        self.writer = Writer(
+            self.storage, self.room, now_us,
+            lambda item: keep.too_old(item.cls, item.opened_us, wall_us()),
+        )  # fmt: skip
         self.client = Client(100)
         self.joining: Joining | None = None
         if settings.state:
@@ -88,7 +94,7 @@
             self.membership = Membership.alone(settings.name, settings.bind, now_us())
         self.copies = Copies(
             self.client, self.membership, self.writer, settings.durable_on,
-            Pace(settings.repair_mb_per_s * MB, now_us()),
+            Pace(settings.repair_mb_per_s * MB, now_us()), lambda record: keep.forgotten(record, wall_us()),
         )  # fmt: skip
         self.reading = Reading(self.client, self.membership, self.writer)
         self.board = Board(now_us)
@@ -160,6 +166,13 @@
         for cls, age_us in retention.rules():
             ended = await self.writer.call(self.index.ended_before, cls, now - age_us, 256)
             await self.writer.put_records([expire(r) for r in ended if retention.due(r, now)])
+        if retention.record_days:
+            before = now - int(retention.record_days * DAY_US)
+            gone = await self.writer.call(self.index.expired_before, before, 256)
+            gone = [r.key for r in gone if retention.forgotten(r, now)]
+            if gone:
+                await self.writer.drop(gone)
+                log.info("records forgotten", count=len(gone))
         if await self.writer.call(self.storage.reclaim):
             await self.writer.call(self.storage.sweep_blobs)
 
@@ -369,7 +382,7 @@
         return 200, msgspec.json.encode({str(t): a for t, a in tasks.items()}), {}
 
     def _check(self, key: Key) -> None:
-        if not REF.match(key.job) or not 0 <= key.task < 100_000 or key.attempt < 0:
+        if not NAMED.match(key.job) or not 0 <= key.task < 100_000 or key.attempt < 0:
             raise Refused(422, "an attempt is named by a job's id, a task and an attempt number")
         if not key.machine or len(key.machine) > 200 or any(c in key.machine for c in "/ \n"):
             raise Refused(422, "a machine's name has no spaces and no slashes")
--- a/pearstep/archive/writer.py
+++ b/pearstep/archive/writer.py
@@ -27,10 +27,14 @@
 class Writer:
     """The one that writes to a storage. All that blocks runs in its thread."""
 
-    def __init__(self, storage: Storage, room: Room, now_us: Callable[[], int]) -> None:
+    def __init__(
+        self, storage: Storage, room: Room, now_us: Callable[[], int],
+        too_old: Callable[[Append], bool] = lambda item: False,
+    ) -> None:  # fmt: skip
         self.storage = storage
         self.room = room
         self.now_us = now_us
+        self._too_old = too_old
         self.open: dict[Key, Live] = {}
         self._known: OrderedDict[Key, Live] = OrderedDict()
         self._thread = ThreadPoolExecutor(1, "archive-disk")
@@ -103,6 +107,8 @@
         return results
 
     def _judge(self, live: Live | None, item: Append, checked: bool) -> Verdict:
+        if live is None and self._too_old(item):
+            return Verdict(410, "this attempt is past its retention")
         verdict = decide(live, item)
         if verdict.status != 200:
             return verdict
--- a/pearstep/cli/logs.py
+++ b/pearstep/cli/logs.py
@@ -13,17 +13,13 @@
 
 from ..archive.messages import bad_name
 from ..archive.records import Key
+from ..client.archive import key_of
 from .common import AWAY, NO, Clients, command, fail, output, show
 
 PAUSE_S = 0.2
 ENDED = ("sealed", "expired")
 
 
-def key_of(attempt: dict[str, Any]) -> Key:
-    """The record's name."""
-    return Key(*(attempt[f] for f in ("job", "task", "attempt", "machine", "start")))
-
-
 def write(data: bytes, holes: list[tuple[int, int]], begin: int) -> None:
     """Bytes to standard output as they are; what is missing is said on standard error, never left silent."""
     at = begin
--- a/pearstep/cli/main.py
+++ b/pearstep/cli/main.py
@@ -23,6 +23,7 @@
     "cancel": ("jobs", "cancel"),
     "logs": ("logs", "logs"),
     "artefacts": ("logs", "artefacts"),
+    "images": ("images", "images"),
     "keys": ("keys", "keys"),
 }
 ORDER = list(COMMANDS)
--- a/pearstep/client/archive.py
+++ b/pearstep/client/archive.py
@@ -180,6 +180,11 @@
             yield part
 
 
+def key_of(attempt: dict[str, Any]) -> Key:
+    """The name of an attempt's record, from what readers are told of it."""
+    return Key(*(attempt[f] for f in ("job", "task", "attempt", "machine", "start")))
+
+
 def digest(path: Path) -> tuple[str, int]:
     """SHA-256 and size of a file."""
     sha, size = hashlib.sha256(), 0
--- a/pearstep/jobs/description.py
+++ b/pearstep/jobs/description.py
@@ -18,6 +18,7 @@
 Signal = Annotated[str, Meta(pattern="^(TERM|INT|USR1|USR2|HUP)$")]
 EnvName = re.compile(r"^[A-Za-z_][A-Za-z0-9_]{0,127}$")
 FileName = re.compile(r"^[A-Za-z0-9_.][A-Za-z0-9_.-]{0,99}$")
+ImageName = re.compile(r"^img-[a-z0-9][a-z0-9._-]{0,60}(@[0-9a-f]{1,64})?$")
 MOST_BYTES = 60 * 1024
 
 
@@ -46,7 +47,8 @@
 
 
 class Image(msgspec.Struct, forbid_unknown_fields=True):
-    """The image that a machine must have."""
+    """The image that a machine must have. One whose name begins with ``img-`` is in the archive, the latest
+    or the ``@version`` that is named; its folder is told to the task as PEARSTEP_IMAGE."""
 
     name: Text = "none"
     size_gb: Amount = 0.0
@@ -177,6 +179,8 @@
     for pattern in job.run.outputs:
         if pattern.startswith("/") or ".." in pattern.split("/"):
             return "run.outputs", f"{pattern!r} leaves the task's folder"
+    if job.image.name.startswith("img-") and not ImageName.match(job.image.name):
+        return "image.name", f"{job.image.name!r} is not img-NAME or img-NAME@VERSION"
     if job.kind == "gang" and job.tasks > 1 and job.run.save is None and job.checkpoint_s > 0:
         return "run.save", "a gang with checkpoint_s must say how it saves"
     if len(msgspec.json.encode(job)) > MOST_BYTES:
--- a/pearstep/worker/agent.py
+++ b/pearstep/worker/agent.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 from tornado.httputil import HTTPServerRequest
 
+from ..archive.packs import pack_folder
 from ..archive.records import Key, Seal
 from ..client.archive import ArchiveAway, ArchiveClient
 from ..core.model import US
@@ -21,8 +22,9 @@
 from ..wire import agent as wire
 from ..wire.node import COMMANDS, INSPECT, REPORT, Malformed, error_answer
 from . import mates as mt
-from .folder import Folder, RunNote, lengths
+from .folder import CHECKPOINT, Folder, RunNote, lengths
 from .gangs import GANG, Gangs
+from .materials import CHECKPOINT_FILE, Materials, NoImage
 from .outputs import collect
 from .processes import adopt_orphans, reap, sweep
 from .run import GATHERING, HELD, OVER, PAUSED, PREPARING, RUNNING, STOPPING, Run
@@ -58,6 +60,7 @@
             self.archive, int(s.chunk_kb * 1024), int(s.spool_mb * MB), int(s.keep_s * US), self._shipped
         )
         self.gangs = Gangs(self.client, self.archive, s.bind)
+        self.materials = Materials(self.archive, self.place.root, int(s.images_gb * 1e9))
         self.runs: dict[tuple[str, int], Run] = {}
         self.ended: dict[Spooled, Run | None] = {}
         # Starts whose files a former agent did not bring to the archive. Seen: a task that was done, its
@@ -102,6 +105,9 @@
             ("worker_dropped_bytes", "Log bytes given up for want of room.", lambda: shipping.dropped),
             ("worker_spooled_attempts", "Attempts not whole in the archive.", lambda: len(shipping.spools)),
             ("worker_session", "Number of the session.", lambda: self.session.number),
+            ("worker_image_bytes", "Images on this machine.",
+             lambda: sum(self.materials.kept.sizes.values())),
+            ("worker_images_fetched", "Images fetched.", lambda: self.materials.fetched),
         ):  # fmt: skip
             Gauge(name, text, registry=self.registry).set_function(figure)
 
@@ -234,17 +240,23 @@
             self.due.set()
 
     async def _fetch(self, run: Run) -> None:
-        """The description, from any archive node, until there is an answer."""
+        """The description, from any archive node, and what it asks for, until there is an answer."""
         pause_s = 0.1
         while run.state == PREPARING and not run.abandoned:
             try:
                 job, done = await self._describe(run)
+                if job is not None and not done:
+                    await self._equip(run, job)
+            except NoImage as err:
+                log.warning("task cannot start", job=run.job, task=run.task, why=str(err))
+                job, done = None, False
             except ArchiveAway as err:
-                log.info("description not to be had", job=run.job, why=str(err))
+                log.info("description or image not to be had", job=run.job, why=str(err))
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
                 pause_s = min(pause_s * 2, 5.0)
                 continue
             if run.state != PREPARING or run.abandoned:
+                self._release(run)
                 return
             run.description = job
             need = None if job is None else (job.cpus, job.gpus, job.memory_gb)
@@ -253,6 +265,7 @@
             save_us = 0 if job is None else int(job.save_s * US)
             effects = self.session.described(run.key, need, gang, saves, save_us, done, now_us())
             if not effects:
+                self._release(run)
                 run.move(OVER)
             self._carry_out(effects)
             self.due.set()
@@ -277,8 +290,24 @@
         known = await self.archive.attempts(run.job, None if job.kind == "gang" else run.task)
         return job, any(a["cause"] == "done" for a in known or ())
 
+    async def _equip(self, run: Run, job: Description) -> None:
+        """The image, and the checkpoint that an earlier attempt saved."""
+        if run.image is None:
+            run.image = await self.materials.image(job.image.name)
+        if job.run.save is None:
+            return
+        if self.settings.checkpoints:
+            run.checkpoint = Path(self.settings.checkpoints) / run.job / str(run.task)
+            return
+        await self.materials.resume(run.job, run.task, job.tasks, job.kind == "gang")
+        run.checkpoint, run.archived = self.materials.folder(run.job, run.task), True
+
+    def _release(self, run: Run) -> None:
+        self.materials.release(run.image)
+        run.image = None
+
     def _start(self, run: Run) -> None:
-        spool = run.start(self.place, self.settings.machine, self.settings.checkpoints)
+        spool = run.start(self.place, self.settings.machine)
         assert run.folder is not None
         run.move(RUNNING)
         if run.mates is not None and run.mates.state == mt.READY:
@@ -302,6 +331,8 @@
 
     def _kill(self, run: Run) -> None:
         if run.state in (PREPARING, GATHERING):
+            if run.state == GATHERING:
+                self._release(run)
             self.gangs.drop(run, mt.GONE)
             run.move(OVER)
             return
@@ -354,12 +385,16 @@
         run.why, run.saved = why, saved
         self.gangs.drop(run, phase)
         run.seal(self.place, cause)
+        self._release(run)
         run.move(HELD)
         hold = 0 if cause in ("killed", "mates gone") or run.abandoned else self.settings.hold_s
         run.held_until_us = now_us() + int(hold * US)
         if cause == "done" and run.description is not None and run.description.run.outputs:
             run.published = False
             asyncio.ensure_future(self._publish(run))
+        elif cause == "saved" and run.archived:
+            run.published = False
+            asyncio.ensure_future(self._publish_checkpoint(run))
         if run.abandoned or hold == 0:
             self._tell_end(run)
 
@@ -368,6 +403,9 @@
 
     def _tell_end(self, run: Run) -> None:
         run.move(OVER)
+        if run.saved and run.archived and not run.published:
+            # It is on this machine alone, which may be gone before it is anywhere else.
+            run.saved = False
         if not run.abandoned and run.session == self.session.number:
             self.session.exited(run.key, run.why or "error", run.saved)
         if run.key not in self.session.tasks and self.runs.get(run.key) is run:
@@ -378,23 +416,40 @@
     async def _publish(self, run: Run) -> None:
         assert run.description is not None and run.folder is not None and run.spool is not None
         job = run.description
-        await self._bring_files(run.folder, run.spool.key, job.team, job.run.outputs)
+        names = await self._collected(run.folder, run.spool.key, job.run.outputs)
+        await self._bring_files(run.folder, run.folder / "task", run.spool.key, job.team, names)
         run.published = True
         self._clean(run)
 
+    async def _publish_checkpoint(self, run: Run) -> None:
+        assert run.description is not None and run.folder is not None and run.spool is not None
+        await self._bring_checkpoint(run.folder, run.spool.key, run.description.team)
+        run.published = True
+        self._clean(run)
+
+    async def _bring_checkpoint(self, folder: Path, key: Key, team: str) -> None:
+        await asyncio.to_thread(pack_folder, folder / CHECKPOINT, folder / CHECKPOINT_FILE)
+        await self._bring_files(folder, folder, key, team, [CHECKPOINT_FILE])
+
     async def _pay(self, folder: Path, note: RunNote) -> None:
         """Bring the files that a former agent owed."""
-        await self._bring_files(folder, note.key, note.team, note.outputs)
+        if (folder / CHECKPOINT).is_dir():
+            await self._bring_checkpoint(folder, note.key, note.team)
+        else:
+            names = await self._collected(folder, note.key, note.outputs)
+            await self._bring_files(folder, folder / "task", note.key, note.team, names)
         del self.owed[folder]
         if not any(s.key == note.key for s in self.shipping.spools):
             self.place.remove(folder)
 
-    async def _bring_files(self, folder: Path, key: Key, team: str, outputs: list[str]) -> None:
-        """Until they are there, or the archive says that it will never take them."""
-        root = folder / "task"
-        names, left = await asyncio.to_thread(collect, root, outputs)
+    async def _collected(self, folder: Path, key: Key, outputs: list[str]) -> list[str]:
+        names, left = await asyncio.to_thread(collect, folder / "task", outputs)
         for name, why in left:
             log.warning("output left out", attempt=key.text(), file=name, why=why)
+        return names
+
+    async def _bring_files(self, folder: Path, root: Path, key: Key, team: str, names: list[str]) -> None:
+        """Until they are there, or the archive says that it will never take them."""
         pause_s = 0.2
         while names:
             try:
--- a/pearstep/worker/folder.py
+++ b/pearstep/worker/folder.py
@@ -20,6 +20,8 @@
 from .processes import Started
 
 T = TypeVar("T", bound=msgspec.Struct)
+# Below a start's folder: what the task saved, on its way to the archive.
+CHECKPOINT = "checkpoint"
 
 
 class State(msgspec.Struct):
@@ -101,9 +103,11 @@
         (folder / "published").touch()
 
     def owes_files(self, folder: Path, note: RunNote, seal: Seal | None) -> bool:
-        """Whether a start that a former agent left was done and its files may not be in the archive."""
-        done = seal is not None and seal.cause == "done"
-        return done and bool(note.outputs) and not (folder / "published").exists()
+        """Whether a start that a former agent left was done, or saved, and its files may not be in the
+        archive."""
+        if seal is None or (folder / "published").exists():
+            return False
+        return bool(note.outputs) if seal.cause == "done" else (folder / CHECKPOINT).is_dir()
 
     def found(self) -> list[tuple[Path, RunNote, Seal | None]]:
         """What a former agent left."""
--- a/pearstep/worker/run.py
+++ b/pearstep/worker/run.py
@@ -9,7 +9,7 @@
 from ..core.states import Table
 from ..jobs.description import Description
 from ..links.clocks import wall_us
-from .folder import Folder, RunNote, lengths
+from .folder import CHECKPOINT, Folder, RunNote, lengths
 from .mates import Mates
 from .processes import End, Process, kill_escaped
 from .spool import Spooled
@@ -56,6 +56,9 @@
         self.saved: bool | None = None
         self.published = True
         self.held_until_us = 0
+        self.image: Path | None = None
+        self.checkpoint: Path | None = None  # where it saves; None: it does not
+        self.archived = False  # whether what it saves goes to the archive
 
     @property
     def key(self) -> tuple[str, int]:
@@ -66,7 +69,7 @@
         """Change the state."""
         RUN.move(self, to)
 
-    def start(self, place: Folder, machine: str, checkpoints: str) -> Spooled:
+    def start(self, place: Folder, machine: str) -> Spooled:
         """Begin its process, with everything written down first. Raises OSError if it cannot be begun: that
         is an end like any other, and the reason goes to its log."""
         assert self.description is not None
@@ -84,10 +87,11 @@
             "HOME": str(folder / "task"), "PEARSTEP_JOB": self.job, "PEARSTEP_TASK": str(self.task),
             "PEARSTEP_TASKS": str(job.tasks), "PEARSTEP_ATTEMPT": str(self.attempt),
         }  # fmt: skip
-        if checkpoints and job.run.save is not None:
-            kept = Path(checkpoints) / self.job / str(self.task)
-            kept.mkdir(parents=True, exist_ok=True)
-            env["PEARSTEP_CHECKPOINT"] = str(kept)
+        if self.checkpoint is not None:
+            self.checkpoint.mkdir(parents=True, exist_ok=True)
+            env["PEARSTEP_CHECKPOINT"] = str(self.checkpoint)
+        if self.image is not None:
+            env["PEARSTEP_IMAGE"] = str(self.image)
         values: dict[str, str | int] = {
             "job": self.job, "task": self.task, "tasks": job.tasks, "attempt": self.attempt,
         }  # fmt: skip
@@ -131,8 +135,11 @@
         return "error", None, "error"
 
     def seal(self, place: Folder, cause: str) -> Seal:
-        """Its last word, on disk."""
+        """Its last word, on disk. What it saved for the archive is moved to its folder first: from here on
+        the next attempt of the task may use the place where it was."""
         assert self.folder is not None and self.spool is not None
+        if cause == "saved" and self.archived and self.checkpoint is not None:
+            os.replace(self.checkpoint, self.folder / CHECKPOINT)
         code = None
         if self.end is not None:
             code = self.end.code if self.end.code is not None else -(self.end.signal or 0)
--- a/pearstep/worker/settings.py
+++ b/pearstep/worker/settings.py
@@ -19,7 +19,8 @@
 
     ``ship_ms`` is how long written bytes may lie before they are sent, ``spool_mb`` how many unconfirmed
     bytes are kept while the archive takes none, ``hold_s`` how long an ended task waits for its log to be
-    safe before its end is reported."""
+    safe before its end is reported. ``checkpoints`` is a folder that all machines share; without one, what
+    tasks save goes to the archive. ``images_gb`` bounds the images that stay on the machine."""
 
     machine: Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$")]
     bind: Address
@@ -42,6 +43,7 @@
     spool_mb: Positive = 512.0
     hold_s: NotNegative = 5.0
     keep_s: Positive = 5.0
+    images_gb: Positive = 20.0
 
 
 def load(file: str) -> WorkerSettings:
