--- a/pearstep/cli/jobs.py
+++ b/pearstep/cli/jobs.py
@@ -10,6 +10,7 @@
 from ..jobs.description import DescriptionError, parse
 from .common import NO, Clients, command, output, show
 from .logs import follow_job
+from .peers import describe, loan_of
 
 FINAL = ("done", "cancelled")
 
@@ -83,6 +84,10 @@
         code = "" if a["code"] is None else f" ({a['code']})"
         lines.append(f"  task {a['task']} attempt {a['attempt']} on {a['machine']}: {how}{code}")
     facts = {"ref": ref, "state": found.state, "done": found.done, "running": found.running}
+    loan = await loan_of(clients, ref) if clients.cluster.site else None
+    if loan is not None:
+        facts["loan"] = loan
+        lines.insert(1, f"  {describe(loan)}")
     show(
         {**facts, "attempts": attempts},
         output, "\n".join(lines),
--- a/pearstep/cli/main.py
+++ b/pearstep/cli/main.py
@@ -25,6 +25,8 @@
     "artefacts": ("logs", "artefacts"),
     "images": ("images", "images"),
     "keys": ("keys", "keys"),
+    "peers": ("peers", "peers"),
+    "loans": ("peers", "loans"),
 }
 ORDER = list(COMMANDS)
 
--- a/pearstep/cli/node.py
+++ b/pearstep/cli/node.py
@@ -11,6 +11,7 @@
 import click
 
 from .. import __version__
+from ..node.extension import Extension
 from ..node.settings import Settings, SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -22,9 +23,13 @@
     "--tuning", "tuning", metavar="FILE", default=None,
     help="The operators' own settings (YAML); also PEARSTEP_TUNING. Everything has a default.",
 )  # fmt: skip
+@click.option(
+    "--federation", "federation", metavar="FILE", default=None,
+    help="Lend to peers and borrow from them by these settings (YAML); also PEARSTEP_FEDERATION.",
+)  # fmt: skip
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.version_option(__version__, prog_name="pearstep")
-def main(config: str, tuning: str | None, check: bool) -> None:
+def main(config: str, tuning: str | None, federation: str | None, check: bool) -> None:
     """Run a pearstep controller node until it is killed.
 
     LOG_LEVEL (error, info or debug) says how much is logged to standard error.
@@ -42,16 +47,36 @@
         level=LEVELS[level], stream=sys.stderr, format="%(levelname).1s %(name)s: %(message)s"
     )
     logging.getLogger("asyncio").setLevel(logging.WARNING)
+    extension = _federation(federation or os.environ.get("PEARSTEP_FEDERATION"), settings)
     if check:
         click.echo("settings are valid")
         return
-    _run(settings)
+    _run(settings, extension)
+
+
+def _federation(file: str | None, settings: Settings) -> Extension | None:
+    """Lending, if it is configured; a node without it imports nothing of it."""
+    if not file:
+        return None
+    from ..federation.keys import KeyTrouble
+    from ..federation.place import Federation
+    from ..federation.settings import FederationError
+    from ..federation.settings import load as load_federation
+
+    try:
+        found = load_federation(file)
+        if settings.node not in found.binds:
+            raise FederationError(f"{file}: `binds` has no address for this node, {settings.node}")
+        return Federation(found)
+    except (FederationError, KeyTrouble) as err:
+        click.echo(f"pearstep: {err}", err=True)
+        sys.exit(2)
 
 
-def _run(settings: Settings) -> None:
+def _run(settings: Settings, extension: Extension | None) -> None:
     from ..node.controller import Controller
 
     gc.freeze()
     # The replica of the state is large and lives long: to go through it often costs more than it frees.
     gc.set_threshold(20_000, 20, 50)
-    asyncio.run(Controller(settings).run())
+    asyncio.run(Controller(settings, extension).run())
--- a/pearstep/cli/up.py
+++ b/pearstep/cli/up.py
@@ -11,7 +11,7 @@
 import click
 
 from ..links import logs
-from ..local.layout import Cluster, LayoutError, make
+from ..local.layout import KEYS, Cluster, LayoutError, make
 from ..local.supervisor import Supervisor
 from .common import AWAY, WRONG, Clients, fail
 
@@ -23,9 +23,12 @@
 @click.option(
     "--machines", type=click.IntRange(1, 100), default=2, help="Workers at most (at the first start)."
 )
+@click.option("--site", default="", help="Name this site towards peers (at the first start); makes its keys.")
 @click.option("--job", metavar="FILE", help="Submit this job, show its log, and go on.")
 @click.option("--once", is_flag=True, help="With --job: end everything once the job is over.")
-def up(directory: str, nodes: int, archives: int, machines: int, job: str | None, once: bool) -> None:
+def up(
+    directory: str, nodes: int, archives: int, machines: int, site: str, job: str | None, once: bool
+) -> None:
     """Start state service, cloud, archive, controllers and workers in DIRECTORY.
 
     Everything that was started ends with this command (Ctrl-C). Started again, the cluster goes on with
@@ -36,13 +39,26 @@
     memory_gb = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / 2**30
     try:
         cluster = make(
-            root, nodes, archives, machines, float(os.cpu_count() or 1), round(memory_gb * 0.75, 1)
+            root, nodes, archives, machines, float(os.cpu_count() or 1), round(memory_gb * 0.75, 1), site
         )
+        if cluster.site:
+            _keys(root / KEYS, cluster.site)
     except LayoutError as err:
         fail(str(err), WRONG)
     sys.exit(asyncio.run(_run(root, cluster, job, once)))
 
 
+def _keys(folder: Path, site: str) -> None:
+    """The site's keys, made at its first start."""
+    from ..federation.keys import Keys, KeyTrouble
+
+    try:
+        if not (folder / "authority.pem").exists():
+            Keys.init(folder, site).issue()
+    except KeyTrouble as err:
+        fail(str(err), WRONG)
+
+
 async def _run(root: Path, cluster: Cluster, job: str | None, once: bool) -> int:
     supervisor = Supervisor(root, cluster)
     loop, me = asyncio.get_running_loop(), asyncio.current_task()
@@ -58,6 +74,7 @@
             **cluster.archives,
             "state": cluster.state,
             "cloud": cluster.cloud,
+            **{f"link {name}": addr for name, addr in cluster.links.items()},
         }.items():
             click.echo(f"{name:12} {addr}", err=True)
         click.echo(f"up; in another terminal: pearstep --cluster {root} submit FILE", err=True)
--- a/pearstep/client/archive.py
+++ b/pearstep/client/archive.py
@@ -161,11 +161,11 @@
             raise ArchiveAway(f"the archive answers {status}: {reason(data)}")
         return msgspec.msgpack.decode(data, type=tuple[bytes, list[tuple[int, int]]])
 
-    async def blob(self, key: Key, content: str, size: int) -> AsyncIterator[bytes]:
-        """The bytes of a published file, part by part, from any node that has them."""
+    async def blob(self, key: Key, content: str, size: int, begin: int = 0) -> AsyncIterator[bytes]:
+        """The bytes of a published file from an offset on, part by part, from any node that has them."""
         addrs = await self.owners(key.job, key.task)
         addrs += [a for a in (self.layout.members.values() if self.layout else self._addrs) if a not in addrs]
-        at = 0
+        at = begin
         while at < size:
             part = b""
             for addr in addrs:
--- a/pearstep/core/gangs.py
+++ b/pearstep/core/gangs.py
@@ -14,7 +14,7 @@
 def plan_gang(work: Pass, job: Job) -> None:
     """Route a gang that waits, or leave it where it is."""
     spec = job.spec
-    if job.done:
+    if job.done or job.lent:
         return
     if job.wide:
         if job.run and _loses_a_machine(work, job):
--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .model import Spec
+from .model import Spec, from_ranges
 from .records import CANCELLED, CHUNK, DONE, QUEUED, JobRec, PlaceRec, RouteRec
 from .states import Table
 
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "spec", "state", "stamp", "at_us", "end_us", "routes", "places", "done", "seen_us", "run", "routed",
+        "skip", "lent",
     )  # fmt: skip
 
     def __init__(self, rec: JobRec, stamp: int, seen_us: int) -> None:
@@ -60,7 +61,10 @@
         self.seen_us = seen_us
         self.routes: dict[int, Route] = {}
         self.places: dict[tuple[int, int], Placed] = {}
-        self.done = 0
+        # Tasks that are not for this cluster count as done from the beginning. Those that are lent now are
+        # not to be routed; whoever keeps the loans says which (``federation``).
+        self.skip = self.done = from_ranges(rec.skip) if rec.skip else 0
+        self.lent = 0
         # The tasks that have a placement anywhere, and those that some part may place.
         self.run = 0
         self.routed = 0
@@ -101,7 +105,7 @@
     def faults(self) -> int:
         """How often its tasks have failed although none has ever completed: a job that was submitted with
         a mistake, or that met sick machines only."""
-        return 0 if self.done else sum(placed.rec.faults for placed in self.places.values())
+        return 0 if self.done & ~self.skip else sum(placed.rec.faults for placed in self.places.values())
 
     @property
     def wide(self) -> bool:
@@ -111,7 +115,7 @@
     @property
     def waits(self) -> bool:
         """Whether some task is neither done nor placed anywhere."""
-        return self.state == QUEUED and bool(self.spec.all_tasks & ~self.done & ~self.run)
+        return self.state == QUEUED and bool(self.spec.all_tasks & ~self.done & ~self.run & ~self.lent)
 
     def using(self) -> int:
         """The tasks that use the team's limit: placed anywhere, or allowed to be."""
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -138,7 +138,7 @@
                     moved += self._move(work, job, part, bits(waiting)[fitted:])
         if short > moved:
             work.unplaced.append((job, short - moved))
-        unrouted = spec.all_tasks & ~job.done & ~job.routed & ~job.run
+        unrouted = spec.all_tasks & ~job.done & ~job.routed & ~job.run & ~job.lent
         if unrouted and not work.limits.held_back(spec):
             self._route_new(work, job, unrouted)
 
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -23,13 +23,15 @@
 
 class JobRec(msgspec.Struct, omit_defaults=True):
     """An accepted job. ``part``: the part that it is routed to from the beginning, as long as no route
-    says otherwise; such a job needs no change for its route."""
+    says otherwise; such a job needs no change for its route. ``skip`` are tasks that are not this cluster's
+    to run: of a job that a peer has lent in part."""
 
     spec: Spec
     at_us: int
     state: str = QUEUED
     end_us: int = 0
     part: int | None = None
+    skip: str = ""
 
 
 class RouteRec(msgspec.Struct, omit_defaults=True):
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from .job import Job, Placed, Route
@@ -23,6 +25,9 @@
     decode,
 )
 
+# Kinds of keys that ``federation`` writes.
+LOANS = ("l/", "g/")
+
 
 class Holder:
     """Who holds a part or the lead, and since which revision: the token."""
@@ -49,6 +54,11 @@
         self.leader: Holder | None = None
         self.orphans: dict[str, list[tuple[str, int, bytes | None]]] = {}
         self.unreadable: list[str] = []
+        # Records that something beyond the core reads for itself, by kind: it is told the rest of the key,
+        # the stamp, and the value (None: deleted).
+        self.others: dict[str, Callable[[str, int, bytes | None], None]] = {}
+        # Loans of jobs are kept here, and nothing in this process reads them: what they forbid is not known.
+        self.unread_loans = False
         # What the records place on each machine, and the machines whose records have changed since the
         # leader last looked: with hundreds of machines it must not count them all anew each time.
         self.on: dict[str, dict[tuple[str, int], Place]] = {}
@@ -63,7 +73,12 @@
         if stamp <= self.stamps.get(key, 0):
             return False
         rec = decode(key, raw)
+        if rec is None and (other := self.others.get(key.partition("/")[0])) is not None:
+            self.stamps[key] = stamp
+            other(key.partition("/")[2], stamp, bytes(raw))
+            return True
         if rec is None:
+            self.unread_loans |= key.startswith(LOANS)
             if key not in self.unreadable and len(self.unreadable) < 100:
                 self.unreadable.append(key)
             return False
@@ -95,6 +110,8 @@
             self.parts.pop(int(path[0]), None)
         elif kind == "leader":
             self.leader = None
+        elif kind in self.others:
+            self.others[kind](key.partition("/")[2], stamp, None)
         return True
 
     def _apply(self, key: str, stamp: int, rec: object, now_us: int) -> None:
--- a/pearstep/federation/books.py
+++ b/pearstep/federation/books.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..core.model import Spec
 from . import handoff as ho
 from .handoff import GuestLoan, HomeLoan, Message
 from .overflow import Grant, Lend
@@ -32,21 +33,25 @@
 
 
 class Said(msgspec.Struct, frozen=True):
-    """A message about a job, as it goes over the link; the job's id is that of its home. The first offer of a
-    loan brings what its tasks need; the job's description is asked for by its id."""
+    """A message about a job, as it goes over the link; the job's id is that of its home. An offer brings what
+    its tasks need and the job as it was accepted; what it runs is asked for by its id."""
 
     ref: str
     message: Message
     need: Need = Need()
+    spec: Spec | None = None
 
 
 class HomeBook(msgspec.Struct, frozen=True):
-    """A job's record as home: the loan, the peer that has or had it, and what a task needs."""
+    """A job's record as home: the loan, the peer that has or had it, and what a task needs. ``forced``: an
+    operator's word that ended a loan without the guest's, with who gave it and why."""
 
     loan: HomeLoan
     peer: str = ""
     need: Need = Need()
     returned: int = 0
+    spec: Spec | None = None
+    forced: str = ""
 
 
 class GuestBook(msgspec.Struct, frozen=True):
@@ -55,6 +60,7 @@
     loan: GuestLoan
     need: Need = Need()
     since_us: int = 0  # time of day of the reservation
+    spec: Spec | None = None
 
 
 class Entry(msgspec.Struct):
@@ -84,6 +90,13 @@
         """Start from the records."""
         self.home, self.guest = dict(home), dict(guest)
 
+    def share(
+        self, home: dict[str, HomeBook], guest: dict[tuple[str, str], GuestBook]
+    ) -> None:
+        """Keep the records in these, which somebody else follows too: what another node writes is decided on
+        from then on."""
+        self.home, self.guest = home, guest
+
     def record(self, key: str) -> HomeBook | GuestBook | None:
         """A record by its key."""
         kind, _, rest = key.partition("/")
@@ -102,7 +115,10 @@
 
     # -- what is asked of the books --------------------------------------------------------------
 
-    def lend(self, job: str, tasks: int, need: Need, lend: Lend, running: int, repeats: bool) -> Entry | None:
+    def lend(
+        self, job: str, tasks: int, need: Need, lend: Lend, running: int, repeats: bool,
+        spec: Spec | None = None,
+    ) -> Entry | None:  # fmt: skip
         """Offer rows of a job to a peer; those that wait, from the lowest on."""
         book = self.home.get(job) or HomeBook(HomeLoan(tasks, repeats=repeats))
         waiting = book.loan.startable & ~running
@@ -117,7 +133,7 @@
         loan, said = ho.offer(book.loan, number, rows, running)
         if loan == book.loan:
             return None
-        after = msgspec.structs.replace(book, loan=loan, peer=lend.peer, need=need)
+        after = msgspec.structs.replace(book, loan=loan, peer=lend.peer, need=need, spec=spec)
         return self._home_entry(job, after, said)
 
     def act(self, job: str, change: tuple[HomeLoan, list[Message]]) -> Entry | None:
@@ -145,10 +161,12 @@
             out = [Said(said.ref, m) for m in answers]
             if loan == guest.loan:
                 return out
-            need, since = guest.need, guest.since_us
+            need, since, spec = guest.need, guest.since_us, guest.spec
             if loan.state == ho.RESERVED and guest.loan.number != loan.number:
-                need, since = said.need, wall_us
-            return self._guest_entry(peer, said.ref, GuestBook(loan, need, since), answers)
+                need, since, spec = said.need, wall_us, said.spec
+            if loan.state == ho.NONE:
+                spec = None  # only the number must be remembered
+            return self._guest_entry(peer, said.ref, GuestBook(loan, need, since, spec), answers)
         book = self.home.get(said.ref) or HomeBook(HomeLoan(0, state=ho.SETTLED))
         if book.peer and book.peer != peer:
             # A guest that this job is no longer with: whatever it was, it is over. Its number is never the
@@ -159,7 +177,7 @@
         before = book.loan
         home, answers = ho.home_hears(before, said.message)
         if home == before or said.ref not in self.home:
-            return [Said(said.ref, m, book.need) for m in answers]
+            return [self._said(said.ref, m, book) for m in answers]
         came_back = before.state in (ho.GRANTED, ho.RECALLING) and home.state == ho.AT_HOME
         after = msgspec.structs.replace(book, loan=home, returned=book.returned + came_back)
         return self._home_entry(said.ref, after, answers)
@@ -171,7 +189,7 @@
         used = self.used(peer)
         count = said.message.rows.bit_count()
         need = (said.need.cpus * count, said.need.gpus * count, said.need.memory_gb * count)
-        reserved = self._reserved()
+        reserved = self.reserved()
         granted = (grant.cpus, grant.gpus, grant.memory_gb)
         there = (free.cpus, free.gpus, free.memory_gb)
         return all(
@@ -183,14 +201,19 @@
         """What a peer's loans hold of its grant: reserved, running and stopping."""
         return _sum(b for (p, _), b in self.guest.items() if p == peer and b.loan.state in _OCCUPIED)
 
-    def _reserved(self) -> tuple[float, float, float]:
+    def reserved(self) -> tuple[float, float, float]:
+        """What is kept for offers that were accepted and not granted yet."""
         return _sum(b for b in self.guest.values() if b.loan.state == ho.RESERVED)
 
     # -- entries ---------------------------------------------------------------------------------
 
     def _home_entry(self, job: str, after: HomeBook, says: list[Message]) -> Entry:
         before = self.home.get(job)
-        return Entry(f"l/{job}", before, after, after.peer, [Said(job, m, after.need) for m in says])
+        return Entry(f"l/{job}", before, after, after.peer, [self._said(job, m, after) for m in says])
+
+    @staticmethod
+    def _said(job: str, message: Message, book: HomeBook) -> Said:
+        return Said(job, message, book.need, book.spec if message.kind == ho.OFFER else None)
 
     def _guest_entry(self, peer: str, job: str, after: GuestBook, says: list[Message]) -> Entry:
         before = self.guest.get((peer, job))
@@ -220,16 +243,21 @@
         """What is to be said again by peer, at most an envelope each: what has not been answered, after a
         pause that doubles. A peer that came back is told of every loan before it counts as up."""
         out: dict[str, list[Said]] = {}
-        open_home = ((job, b.peer, ho.home_says(b.loan), b.need) for job, b in self.home.items())
-        open_guest = ((job, peer, ho.guest_says(b.loan), Need()) for (peer, job), b in self.guest.items())
+        open_home = (
+            (job, b.peer, [self._said(job, m, b) for m in ho.home_says(b.loan)])
+            for job, b in self.home.items()
+        )
+        open_guest = (
+            (job, peer, [Said(job, m) for m in ho.guest_says(b.loan)]) for (peer, job), b in
+            self.guest.items() )
         for kind, rows in (("l", open_home), ("g", open_guest)):
-            for job, peer, says, need in rows:
+            for job, peer, says in rows:
                 if not says or peer not in peers:
                     continue
                 key = (kind, peer, job)
                 box = out.setdefault(peer, [])
                 if now_us >= self._again.get(key, (0, 0))[0] and len(box) < MOST_IN_ENVELOPE:
-                    box += [Said(job, m, need) for m in says]
+                    box += says
                     self._note(key, now_us)
         return {peer: box for peer, box in out.items() if box}
 
@@ -238,6 +266,12 @@
         silence has made long."""
         self._again = {key: when for key, when in self._again.items() if key[1] != peer}
 
+    def changed(self, key: str) -> None:
+        """A record was written by somebody else of this cluster: what it permits is said at once."""
+        kind, _, rest = key.partition("/")
+        job = rest.rpartition("/")[2]
+        self._again = {k: when for k, when in self._again.items() if (k[0], k[2]) != (kind, job)}
+
     def overdue(self, wall_us: int) -> list[Entry]:
         """Reservations whose time is over."""
         out = []
--- a/pearstep/federation/desk.py
+++ b/pearstep/federation/desk.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from .books import Books, Entry, Need, Said
-from .link import VERSION, Envelope
+from .link import VERSION, Envelope, Offer
 from .peers import BACK, Patience, Peer
 
 log = logging.getLogger("pearstep.federation")
@@ -22,12 +22,14 @@
 
 class Desk:
     """``commit`` writes an entry in a conditional transaction and says whether it stands; ``free`` is what
-    the cluster has for loans now; ``changed`` is told of every entry that was written."""
+    the cluster has for loans of a peer now; ``changed`` is told of every entry that was written; ``offer`` is
+    what a peer is told of that room."""
 
     def __init__(
         self, site: str, books: Books, peers: list[str], patience: Patience, commit: Commit, send: Send,
-        free: Callable[[], Need], now_us: Callable[[], int], wall_us: Callable[[], int],
+        free: Callable[[str], Need], now_us: Callable[[], int], wall_us: Callable[[], int],
         changed: Callable[[Entry], None] = lambda entry: None,
+        offer: Callable[[str], Offer | None] = lambda peer: None,
     ) -> None:  # fmt: skip
         self.site = site
         self.books = books
@@ -35,6 +37,10 @@
         self._commit, self._send, self._free = commit, send, free
         self._now_us, self._wall_us = now_us, wall_us
         self._changed = changed
+        self._offer = offer
+        # What peers offer, and when they said so.
+        self.offers: dict[str, tuple[Offer, int]] = {}
+        self.link_us: dict[str, int] = {}
         self._asked: dict[str, int] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._first: dict[str, list[Said]] = {}
@@ -62,10 +68,15 @@
     async def hear(self, peer: str, envelope: Envelope) -> Envelope:
         """What a peer says, answered."""
         self._heard(peer, envelope)
-        return Envelope(VERSION, self.site, await self._take(peer, envelope.items), self._whole(peer))
+        return self._envelope(peer, await self._take(peer, envelope.items))
+
+    def _envelope(self, peer: str, items: list[Said]) -> Envelope:
+        return Envelope(VERSION, self.site, items, self._whole(peer), self._offer(peer))
 
     def _heard(self, peer: str, envelope: Envelope) -> None:
         one = self.peers[peer]
+        if envelope.offer is not None:
+            self.offers[peer] = (envelope.offer, self._now_us())
         before = one.state
         one.heard(self._now_us())
         if one.state == BACK and before != BACK:
@@ -82,7 +93,7 @@
     async def _take(self, peer: str, items: list[Said]) -> list[Said]:
         out: list[Said] = []
         for said in items:
-            found = self.books.hear(peer, said, self._free(), self._wall_us())
+            found = self.books.hear(peer, said, self._free(peer), self._wall_us())
             out += await self.write(found) if isinstance(found, Entry) else found
         return out
 
@@ -107,14 +118,16 @@
         await asyncio.gather(*sends)
 
     async def _exchange(self, peer: str, items: list[Said]) -> None:
-        answer = await self._send(peer, Envelope(VERSION, self.site, items, self._whole(peer)))
+        begun = self._now_us()
+        answer = await self._send(peer, self._envelope(peer, items))
         if answer is None:
             return
+        self.link_us[peer] = (self._now_us() - begun) // 2
         self._heard(peer, answer)
         more = await self._take(peer, answer.items)
         if more:
             # An answer to an answer goes at once: a grant should not wait for the next look.
-            last = await self._send(peer, Envelope(VERSION, self.site, more, self._whole(peer)))
+            last = await self._send(peer, self._envelope(peer, more))
             if last is not None:
                 self._heard(peer, last)
                 self._first.setdefault(peer, []).extend(await self._take(peer, last.items))
--- /dev/null
+++ b/pearstep/federation/facts.py
@@ -0,0 +1,93 @@
+"""What operators are told of lending: JSON for the commands, and metrics."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import msgspec
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+from tornado.httputil import HTTPServerRequest
+
+from ..core.model import to_ranges
+from ..links.http import Answer
+from . import peers as pe
+from .books import HomeBook
+from .desk import Desk
+from .replica import Loans
+
+FACTS = "/v1/federation"
+METRICS = "/v1/federation/metrics"
+MOST_LOANS = 1000
+STATES = (pe.NEW, pe.UP, pe.SUSPECT, pe.CUT, pe.GONE, pe.BACK, pe.DRAINED)
+
+
+class Facts:
+    """Metrics by peer."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+
+        def gauge(name: str, text: str, *labels: str) -> Gauge:
+            return Gauge(f"federation_{name}", text, labels, registry=self.registry)
+
+        self.up = gauge("peer_up", "1 if the peer is up.", "peer")
+        self.state = gauge("peer_state", "1 for the state that the peer is in.", "peer", "state")
+        self.home = gauge("loans_home", "Loans to the peer that are open.", "peer")
+        self.guest = gauge("loans_guest", "Loans of the peer that are open here.", "peer")
+        self.offer = gauge("offered_cpus", "CPUs that the peer offers.", "peer")
+        self.refused = gauge("refused", "Requests on the link that were refused since the start.")
+
+    def follow(self, desk: Desk, loans: Loans, refused: int) -> None:
+        """Take the figures of the moment."""
+        home = Counter(loans.home[ref].peer for ref in loans.open_home)
+        guest = Counter(peer for peer, _ in loans.open_guest)
+        for name, peer in desk.peers.items():
+            self.up.labels(name).set(peer.state == pe.UP)
+            for state in STATES:
+                self.state.labels(name, state).set(peer.state == state)
+            self.home.labels(name).set(home[name])
+            self.guest.labels(name).set(guest[name])
+            self.offer.labels(name).set(desk.offers[name][0].cpus if name in desk.offers else 0)
+        self.refused.set(refused)
+
+
+def loan_facts(ref: str, book: HomeBook) -> dict[str, Any]:
+    """A loan of ours."""
+    loan = book.loan
+    return {
+        "ref": ref, "as": "home", "peer": book.peer, "state": loan.state, "number": loan.number,
+        "tasks": to_ranges(loan.rows), "done": to_ranges(loan.done), "returned": book.returned,
+        "cancel": loan.cancel, "answer": loan.answer, "forced": book.forced,
+    }  # fmt: skip
+
+
+def answer(
+    request: HTTPServerRequest, known: dict[str, Any], desk: Desk | None, loans: Loans, facts: Facts
+) -> Answer | None:
+    """A question of an operator's command, or of a collector of metrics; None if it is neither."""
+    if request.path == METRICS:
+        return 200, generate_latest(facts.registry), {"Content-Type": "text/plain; version=0.0.4"}
+    if request.path != FACTS:
+        return None
+    ref = (request.arguments.get("ref") or [b""])[0].decode()
+    if ref:
+        book = loans.home.get(ref)
+        return 200, msgspec.json.encode({**known, "loan": loan_facts(ref, book) if book else None}), {}
+    peers = []
+    for name, rec in sorted(loans.peers.items()):
+        peer = desk.peers.get(name) if desk else None
+        offer = desk.offers.get(name) if desk else None
+        peers.append({
+            "name": name, "state": "forgotten" if rec.forgotten else peer.state if peer else "unknown",
+            "addrs": rec.addrs, "lend": rec.lend, "grant": msgspec.to_builtins(rec.grant),
+            "drained": rec.drained, "offers": msgspec.to_builtins(offer[0]) if offer else None,
+        })  # fmt: skip
+    rows = [loan_facts(ref, loans.home[ref]) for ref in sorted(loans.open_home)[:MOST_LOANS]]
+    for peer_name, job in sorted(loans.open_guest)[:MOST_LOANS]:
+        loan = loans.guest[peer_name, job].loan
+        rows.append({
+            "ref": job, "as": "guest", "peer": peer_name, "state": loan.state, "number": loan.number,
+            "tasks": to_ranges(loan.rows), "done": to_ranges(loan.done),
+        })  # fmt: skip
+    return 200, msgspec.json.encode({**known, "leads": desk is not None, "peers": peers, "loans": rows}), {}
--- a/pearstep/federation/link.py
+++ b/pearstep/federation/link.py
@@ -23,14 +23,29 @@
 MOST_BYTES = 256 * 1024
 
 
+class Offer(msgspec.Struct, frozen=True):
+    """Room for a peer's jobs: how much, from when on (0: now), and what it costs beside the other's own."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    start_us: int = 0
+    price: float = 1.0
+
+
+class NotHere(Exception):
+    """This controller does not keep the desk: another of the site's addresses does."""
+
+
 class Envelope(msgspec.Struct, frozen=True):
     """What one cluster says to another. ``whole`` says that everything open between them is in here or was
-    said since the link came back."""
+    said since the link came back; ``offer`` is the room that there is for the other's jobs."""
 
     version: int
     site: str
     items: list[Said]
     whole: bool = False
+    offer: Offer | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(Envelope)
@@ -69,25 +84,44 @@
 
 class Link:
     """This site's end of its links. ``hear`` is told who speaks, by certificate, and what is said; it returns
-    what is answered. ``peers`` are addresses by name."""
+    what is answered, or raises NotHere. ``peers`` are addresses by name, any of which may keep the peer's
+    desk; ``serve`` answers a peer's other questions."""
 
     def __init__(
-        self, keys: Keys, peers: dict[str, str], hear: Callable[[str, Envelope], Awaitable[Envelope]],
+        self, keys: Keys, peers: dict[str, list[str]], hear: Callable[[str, Envelope], Awaitable[Envelope]],
+        serve: Callable[[str, HTTPServerRequest], Awaitable[Answer]] | None = None,
     ) -> None:  # fmt: skip
         self.keys = keys
-        self.peers = dict(peers)
+        self.peers: dict[str, list[str]] = {}
         self.refused = 0
+        self._serve = serve
+        self._clients: dict[str, _SecureClient] = {}
+        self.name_peers(peers)
         self._hear = hear
-        self._server_context = keys.context(True)
+        self._server_context: ssl.SSLContext | None = None
         self._seen = self._marks()
-        self._clients = {peer: _SecureClient(self._client_context(peer), peer) for peer in peers}
+
+    def name_peers(self, peers: dict[str, list[str]]) -> None:
+        """Who the peers are, and where; the address that answered last stays the first to be asked."""
+        for peer, addrs in peers.items():
+            known = self.peers.get(peer, [])
+            self.peers[peer] = [a for a in known if a in addrs] + [a for a in addrs if a not in known]
+            if peer not in self._clients:
+                self._clients[peer] = _SecureClient(self._client_context(peer), peer)
+        for peer in [p for p in self.peers if p not in peers]:
+            del self.peers[peer]
 
     def _client_context(self, peer: str) -> Callable[[], ssl.SSLContext]:
         return lambda: self.keys.context(False, peer)
 
-    def listen(self, host: str, port: int) -> None:
-        """Begin to take links."""
-        Server(self.handle, self._server_context).listen(host, port)
+    def listen(self, host: str, port: int) -> bool:
+        """Begin to take links; False as long as nobody is trusted, which is asked again later."""
+        if self._server_context is None:
+            if not self.keys.peers():
+                return False
+            self._server_context = self.keys.context(True)
+            Server(self.handle, self._server_context).listen(host, port)
+        return True
 
     def _marks(self) -> dict[Path, int]:
         files = [self.keys.root / "current.pem", *sorted((self.keys.root / "trusted").iterdir())]
@@ -99,6 +133,8 @@
         if marks == self._seen:
             return False
         self._seen = marks
+        if self._server_context is None:
+            return True
         self._server_context.load_cert_chain(self.keys.root / "current.pem")
         for name in self.keys.peers():
             self._server_context.load_verify_locations(self.keys.root / "trusted" / f"{name}.pem")
@@ -114,6 +150,8 @@
         except KeyTrouble as err:
             self.refused += 1
             return 403, msgspec.json.encode({"error": str(err)}), {}
+        if request.path != LOANS and self._serve is not None and peer in self.peers:
+            return await self._serve(peer, request)
         if request.path != LOANS or request.method != "POST":
             return 404, b"", {}
         try:
@@ -123,21 +161,41 @@
         if envelope.site != peer or peer not in self.peers:
             self.refused += 1
             return 403, msgspec.json.encode({"error": f"{peer} may speak for itself alone"}), {}
-        answer = await self._hear(peer, envelope)
+        try:
+            answer = await self._hear(peer, envelope)
+        except NotHere:
+            return 421, msgspec.json.encode({"error": "another controller keeps the desk"}), {}
         return 200, encode(answer), {"Content-Type": "application/msgpack"}
 
     async def send(self, peer: str, envelope: Envelope, timeout_s: float = 5.0) -> Envelope | None:
-        """Say something and hear the answer; None if there was none."""
-        try:
-            status, body = await self._clients[peer].fetch(
-                self.peers[peer], "POST", LOANS, encode(envelope), timeout_s
-            )
-        except (KeyTrouble, ssl.SSLError):
-            return None
-        if status != 200:
+        """Say something and hear the answer; None if there was none. A controller that does not keep the
+        peer's desk, or does not answer, goes to the end of the row."""
+        body = encode(envelope)
+        data = b""
+        for addr in list(self.peers.get(peer, ())):
+            status, data = await self.ask(peer, addr, "POST", LOANS, body, timeout_s)
+            if status == 200:
+                break
+            row = self.peers.get(peer, [])
+            if addr in row:
+                row.remove(addr)
+                row.append(addr)
+            if status not in (421, 503):
+                # Whether it was heard is not known: who asks another now would have two under way.
+                return None
+        else:
             return None
         try:
-            answer = decode(body)
+            answer = decode(data)
         except ValueError:
             return None
         return answer if answer.site == peer else None
+
+    async def ask(
+        self, peer: str, addr: str, method: str, path: str, body: bytes | None = None, timeout_s: float = 5.0
+    ) -> tuple[int, bytes]:
+        """One request to one of a peer's addresses: status (0: no answer) and body."""
+        try:
+            return await self._clients[peer].fetch(addr, method, path, body, timeout_s)
+        except (KeyTrouble, ssl.SSLError, KeyError):
+            return 0, b""
--- a/pearstep/federation/overflow.py
+++ b/pearstep/federation/overflow.py
@@ -149,12 +149,13 @@
 
 class Grant(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the guest's operator grants a peer: at most so much of this cluster at a time, and only what its
-    own teams do not wait for."""
+    own teams do not wait for. ``rent``: machines may be rented for it."""
 
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
     spare: float = 0.1
+    rent: bool = False
 
 
 def offered(
--- /dev/null
+++ b/pearstep/federation/place.py
@@ -0,0 +1,361 @@
+"""Lending's place in a controller: follows the records, keeps the desk while this node leads, offers what
+waits before a pass, and runs what is borrowed as a job like any other."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from tornado.httputil import HTTPServerRequest
+
+from ..core.job import Job
+from ..core.model import US
+from ..core.records import DONE
+from ..links.budget import URGENT
+from ..links.clocks import now_us, wall_us
+from ..links.http import Answer
+from ..links.store import COMMITTED
+from . import handoff as ho
+from . import peers as pe
+from .books import Books, Entry, GuestBook, Need
+from .carrying import Carrying
+from .desk import Desk
+from .facts import Facts, answer
+from .keys import Keys
+from .link import Envelope, Link, NotHere, Offer
+from .overflow import Grant, Room, choose
+from .reckon import Look, add, as_need, give_way, look, room, waiting
+from .replica import Loans
+from .settings import FederationSettings
+from .writes import borrowed_rec, guest_writes, home_writes, local_ref
+
+if TYPE_CHECKING:
+    from ..node.chief import Chief
+    from ..node.controller import Controller
+
+log = logging.getLogger("pearstep.federation")
+
+# An offer of a peer that is older says nothing about now.
+FRESH_US = 5 * US
+
+
+class Federation:
+    """An extension of a controller (``node.extension``)."""
+
+    def __init__(self, settings: FederationSettings) -> None:
+        self.settings = s = settings
+        self.keys = Keys(s.keys)
+        self.site = self.keys.site
+        self.policy = s.leaving.policy()
+        p = s.patience
+        self.patience = pe.Patience(
+            int(p.suspect_s * US), int(p.cut_s * US), int(p.gone_s * US), rest_us=int(p.rest_s * US)
+        )
+        self.desk: Desk | None = None
+        self.seen = Look()
+        self._chief: Chief | None = None
+        self._lent_us = -(1 << 60)
+        self._offered: dict[str, int] = {}
+        self._starting: set[str] = set()
+        self._listening = False
+        self.facts = Facts()
+
+    def attach(self, controller: Controller) -> None:
+        """The node is made."""
+        self.node = controller
+        self.view = controller.view
+        self.loans = Loans(controller.view, self._changed)
+        self.link = Link(self.keys, {}, self._hear, self._serve)
+        self.carrying = Carrying(self.settings.archives, self.link, self.loans, controller.view)
+
+    def loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Rounds beside the node's own."""
+        return [self.step, self.carry]
+
+    def _changed(self, key: str) -> None:
+        if self.desk is not None and key[:2] in ("l/", "g/"):
+            self.desk.books.changed(key)
+
+    # -- the desk, while this node leads ---------------------------------------------------------
+
+    def _keep_desk(self) -> Desk | None:
+        """The desk of the present leadership; None while this node must not act."""
+        chief = self.node.holding.chief
+        if chief is None or not chief.current():
+            self.desk = self._chief = None
+            return None
+        if self.node.store.refused_since is not None or not self.node.holding.awake():
+            return None
+        if chief is not self._chief:
+            books = Books(chief.stamp, {}, int(self.settings.reserve_s * US))
+            books.share(self.loans.home, self.loans.guest)
+            self._chief = chief
+            self._offered.clear()
+            self.desk = Desk(
+                self.site, books, [], self.patience, self._commit, self.link.send, self._free, now_us,
+                wall_us, offer=self._offer,
+            )  # fmt: skip
+            log.info("keeping the desk: %d loans open as home, %d as guest", len(self.loans.open_home),
+                     len(self.loans.open_guest))
+        assert self.desk is not None
+        return self.desk
+
+    def _follow_peers(self) -> None:
+        """Peers as operators have entered them."""
+        known = {n: p for n, p in self.loans.peers.items() if not p.forgotten}
+        self.link.name_peers({name: rec.addrs for name, rec in known.items()})
+        if self.desk is None:
+            return
+        desk, now = self.desk, now_us()
+        for name in [n for n in desk.peers if n not in known]:
+            del desk.peers[name]
+        for name, rec in known.items():
+            peer = desk.peers.get(name)
+            if peer is None:
+                peer = desk.peers[name] = pe.Peer(name, self.patience, now)
+            if rec.drained and peer.state != pe.DRAINED:
+                peer.drain()
+            elif not rec.drained and peer.state == pe.DRAINED:
+                peer.resume()
+            desk.books.grants[name] = rec.grant if not rec.drained else Grant()
+
+    async def _commit(self, entry: Entry) -> bool:
+        """Write an entry together with what it means for its job."""
+        chief = self._chief
+        if chief is None or not chief.current():
+            return False
+        kind, _, rest = entry.key.partition("/")
+        if kind == "l":
+            writes = home_writes(self.view, rest, entry, wall_us())
+        else:
+            peer, _, ref = rest.partition("/")
+            writes = guest_writes(self.view, peer, ref, entry, wall_us())
+        return writes is not None and await chief.commit(*writes) == COMMITTED
+
+    async def step(self) -> None:
+        """One round of the desk."""
+        await asyncio.sleep(self.settings.step_s * random.uniform(0.8, 1.2))
+        if not self._listening:
+            host, _, port = self.settings.binds[self.node.node].rpartition(":")
+            self._listening = self.link.listen(host, int(port))
+        if not self.node.follower.loaded:
+            return
+        self.link.renew()
+        desk = self._keep_desk()
+        self._follow_peers()
+        if desk is None:
+            return
+        await self._tend_home(desk)
+        await self._tend_guest(desk)
+        await desk.step()
+        self.facts.follow(desk, self.loans, self.link.refused)
+
+    async def _tend_home(self, desk: Desk) -> None:
+        now = now_us()
+        for ref in list(self.loans.open_home):
+            book, job = self.loans.home[ref], self.view.jobs.get(ref)
+            rec = self.loans.peers.get(book.peer)
+            since = self._offered.setdefault(ref, now) if book.loan.state == ho.OFFERED else now
+            if rec is None or rec.forgotten:
+                entry = desk.books.act(ref, ho.force(book.loan))
+                if entry is not None:
+                    why = rec.forgotten if rec is not None else "the peer was removed"
+                    entry.after = msgspec.structs.replace(entry.after, forced=why)
+                    log.warning("loan of %s to %s ended by an operator's word: %s", ref, book.peer, why)
+                    await desk.do(entry)
+            elif book.loan.state == ho.OFFERED and (
+                (job is not None and job.final) or now - since >= self.settings.offer_s * US
+            ):
+                await desk.do(desk.books.act(ref, ho.withdraw(book.loan)))
+        for ref in [r for r in self._offered if r not in self.loans.open_home]:
+            del self._offered[ref]
+
+    async def _tend_guest(self, desk: Desk) -> None:
+        """What is borrowed: begin it, notice its end, give back what must go."""
+        rows: list[tuple[tuple[str, str], GuestBook, Job | None]] = []
+        for peer, ref in list(self.loans.open_guest):
+            book = self.loans.guest[peer, ref]
+            job = self.view.jobs.get(local_ref(peer, ref, book.loan.number))
+            rows.append(((peer, ref), book, job))
+            if book.loan.state == ho.HOLDING and job is None:
+                name = f"{peer}/{ref}"
+                if name not in self._starting:
+                    self._starting.add(name)
+                    asyncio.ensure_future(self._begin(peer, ref))
+            elif job is not None and job.final and book.loan.state in (ho.HOLDING, ho.STOPPING):
+                await self._ended(desk, peer, ref, book, job)
+            elif book.loan.state == ho.STOPPING and job is None:
+                await desk.do(desk.books.act_as_guest(peer, ref, ho.stopped(book.loan)))
+        s = self.settings
+        for peer, ref in give_way(
+            self.seen, rows, now_us(), int(s.yield_s * US), int(s.idle_s * US), wall_us()
+        ):
+            log.info("giving %s back to %s", ref, peer)
+            book = self.loans.guest[peer, ref]
+            await desk.do(desk.books.act_as_guest(peer, ref, (ho.give_back(book.loan), [])))
+
+    async def _begin(self, peer: str, ref: str) -> None:
+        """Bring what the job runs, then let it be a job here."""
+        try:
+            book, chief = self.loans.guest.get((peer, ref)), self._chief
+            if book is None or chief is None:
+                return
+            rec = borrowed_rec(peer, ref, book, wall_us())
+            if rec is None or not await self.carrying.fetch_description(peer, ref, rec.spec.ref):
+                return
+            # Only while the loan is held: stopping it writes the same record.
+            key, job = f"g/{peer}/{ref}", f"j/{rec.spec.ref}"
+            if self.loans.guest.get((peer, ref)) == book:
+                await chief.commit({job: rec}, {key: self.view.stamp(key), job: 0})
+        finally:
+            self._starting.discard(f"{peer}/{ref}")
+
+    async def _ended(self, desk: Desk, peer: str, ref: str, book: GuestBook, job: Job) -> None:
+        """The borrowed job is over: once nothing of it is anywhere, home is told."""
+        if job.run:
+            return
+        loan, says = book.loan, list[ho.Message]()
+        if loan.state == ho.HOLDING and job.state != DONE:
+            # Somebody here has cancelled it.
+            await desk.do(desk.books.act_as_guest(peer, ref, (ho.give_back(loan), [])))
+            return
+        done = loan.rows if job.state == DONE else job.done & loan.rows
+        for task in range(job.spec.tasks):
+            if done >> task & 1 and loan.state in (ho.HOLDING, ho.STOPPING):
+                loan, says = ho.done_at_guest(loan, task)
+        if loan.state == ho.STOPPING:
+            loan, says = ho.stopped(loan)
+        await desk.do(desk.books.act_as_guest(peer, ref, (loan, says)))
+
+    # -- lending ---------------------------------------------------------------------------------
+
+    async def planning(self, chief: Chief) -> None:
+        """Before the leader's pass: offer what waits too long. No route is on its way now, so that what is
+        offered can't be routed at the same time."""
+        for ref in list(self.loans.open_home):
+            self.loans.mark(ref)
+        desk, now = self.desk, now_us()
+        if desk is None or chief is not self._chief or now - self._lent_us < self.settings.lend_s * US:
+            return
+        rooms = self._rooms(desk, now)
+        if not rooms:
+            return
+        self._lent_us = now
+        s = self.settings
+        queue = waiting(
+            chief.leader, self.node.settings.parts, self.node.settings.aims, int(s.leaving.aim_s * US),
+            int(s.leaving.wait_s * US), {r: b.returned for r, b in self.loans.home.items() if b.returned},
+            now, wall_us(),
+        )  # fmt: skip
+        entries: list[Entry] = []
+        for lend in choose(queue, rooms, self.policy, now):
+            job = self.view.jobs[lend.ref]
+            spec = job.spec
+            entry = desk.books.lend(
+                lend.ref, spec.tasks, Need(spec.cpus, spec.gpus, spec.memory_gb), lend, job.run | job.done,
+                False, spec,
+            )  # fmt: skip
+            if entry is not None:
+                log.info("offering %d tasks of %s to %s", lend.rows, lend.ref, lend.peer)
+                entries.append(entry)
+        await asyncio.gather(*(desk.do(entry) for entry in entries))
+
+    def _rooms(self, desk: Desk, now: int) -> list[Room]:
+        out = []
+        under_way: dict[str, int] = {}
+        for ref in self.loans.open_home:
+            book = self.loans.home[ref]
+            if book.loan.state == ho.OFFERED:
+                under_way[book.peer] = under_way.get(book.peer, 0) + 1
+        for name, peer in desk.peers.items():
+            offer, at = desk.offers.get(name, (None, 0))
+            rec = self.loans.peers.get(name)
+            if offer is None or rec is None or not rec.lend or now - at > FRESH_US or not peer.lends(now):
+                continue
+            out.append(Room(
+                name, offer.cpus, offer.gpus, offer.memory_gb, offer.start_us, desk.link_us.get(name, 0),
+                rec.price * offer.price, under_way.get(name, 0),
+            ))  # fmt: skip
+        return out
+
+    def planned(self, chief: Chief) -> None:
+        """After a pass: what is free, and what waits."""
+        self.seen = look(chief.leader, self.seen, now_us())
+        rents = {f"peer:{name}" for name, rec in self.loans.peers.items() if rec.grant.rent}
+
+        def wanted(row: tuple[Job, int]) -> bool:
+            team = row[0].spec.team
+            return not team.startswith("peer:") or team in rents
+
+        # No machine is rented for what is borrowed unless its grant says so.
+        chief.leader.unplaced = [row for row in chief.leader.unplaced if wanted(row)]
+        chief.leader.placeless = [row for row in chief.leader.placeless if wanted(row)]
+
+    def _amounts(self, peer: str) -> tuple[float, float, float]:
+        rec = self.loans.peers.get(peer)
+        desk = self.desk
+        if rec is None or desk is None:
+            return (0.0, 0.0, 0.0)
+        return room(rec.grant, self.seen, desk.books.used(peer), desk.books.reserved(), rec.drained)
+
+    def _free(self, peer: str) -> Need:
+        """What the books may reserve for a peer; they subtract themselves what is reserved already."""
+        desk = self.desk
+        assert desk is not None
+        return as_need(add(self._amounts(peer), desk.books.reserved()))
+
+    def _offer(self, peer: str) -> Offer | None:
+        amounts = self._amounts(peer)
+        rec = self.loans.peers.get(peer)
+        if rec is None:
+            return None
+        # What has to be rented first starts after a boot.
+        there = all(have >= want for have, want in zip(self.seen.free, amounts, strict=True))
+        boot = max((t.boot_us for t in self.node.types.values()), default=0)
+        return Offer(*amounts, start_us=0 if there or not rec.grant.rent else boot)
+
+    # -- users, peers, operators -----------------------------------------------------------------
+
+    async def cancelling(self, job: Job) -> dict[str, int] | None:
+        """What a cancellation must respect. A job of which a peer holds a part is not cancelled before the
+        peer has said that nothing runs; the wish is written down, by any node."""
+        ref = job.spec.ref
+        key = f"l/{ref}"
+        book = self.loans.home.get(ref)
+        if book is None or book.loan.state not in (ho.GRANTED, ho.RECALLING):
+            return {key: self.view.stamp(key)}
+        if not book.loan.cancel:
+            after = msgspec.structs.replace(book, loan=ho.cancel(book.loan)[0])
+            outcome = await self.node.store.txn(
+                {key: self.view.stamp(key), f"j/{ref}": job.stamp}, {key: (after, None)}, urgency=URGENT
+            )
+            if outcome.state == COMMITTED:
+                self.node.follower.applied(key, outcome.revision, after)
+                log.info("cancelling %s, which %s has", ref, book.peer)
+        return None
+
+    async def _hear(self, peer: str, envelope: Envelope) -> Envelope:
+        desk = self._keep_desk()
+        if desk is None or peer not in desk.peers:
+            raise NotHere
+        return await desk.hear(peer, envelope)
+
+    async def _serve(self, peer: str, request: HTTPServerRequest) -> Answer:
+        return await self.carrying.serve(peer, request)
+
+    async def carry(self) -> None:
+        """Bring home what lent tasks wrote."""
+        await asyncio.sleep(1.0)
+        if self.desk is not None:
+            await self.carrying.step()
+
+    def handle(self, request: HTTPServerRequest) -> Answer | None:
+        """Questions of operators."""
+        known: dict[str, Any] = {"site": self.site, "node": self.node.node}
+        return answer(request, known, self.desk, self.loans, self.facts)
+
+
--- /dev/null
+++ b/pearstep/federation/replica.py
@@ -0,0 +1,106 @@
+"""What the state service holds of loans and peers, followed by every controller.
+
+``l/<ref>``        a job as home of its loans; the leader writes it, and any node that takes a cancellation.
+``g/<peer>/<ref>`` a job of a peer, as its guest; the leader writes it.
+``peer/<name>``    a peer; operators write it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..core.job import Job
+from ..core.view import View
+from . import handoff as ho
+from .books import GuestBook, HomeBook
+from .overflow import Grant
+
+OPEN_HOME = (ho.OFFERED, ho.GRANTED, ho.RECALLING)
+
+
+class PeerRec(msgspec.Struct, omit_defaults=True):
+    """A peer as its operator entered it. ``lend``: our work may go there; ``grant``: what its work may take
+    here; ``price``: what its machines cost beside ours. ``drained``: nothing new either way. ``forgotten``:
+    an operator's word, with reason, that it will never answer: what it holds comes home, and if the word is
+    wrong, runs twice."""
+
+    addrs: list[str]
+    lend: bool = True
+    grant: Grant = Grant()
+    price: float = 1.0
+    drained: bool = False
+    forgotten: str = ""
+
+
+_home = msgspec.json.Decoder(HomeBook)
+_guest = msgspec.json.Decoder(GuestBook)
+_peer = msgspec.json.Decoder(PeerRec)
+
+
+def lent_mask(job: Job, book: HomeBook) -> int:
+    """The tasks that must not be routed here: what is lent, and everything once a cancellation waits for a
+    peer's word."""
+    if book.loan.cancel and not job.final:
+        return job.spec.all_tasks
+    return book.loan.rows if book.loan.state in OPEN_HOME else 0
+
+
+class Loans:
+    """The records by name, and which of them are open. ``changed`` is told of each key that changes."""
+
+    def __init__(self, view: View, changed: Callable[[str], None]) -> None:
+        self.view = view
+        self.home: dict[str, HomeBook] = {}
+        self.guest: dict[tuple[str, str], GuestBook] = {}
+        self.peers: dict[str, PeerRec] = {}
+        self.open_home: set[str] = set()
+        self.open_guest: set[tuple[str, str]] = set()
+        self._changed = changed
+        view.others.update(l=self._put_home, g=self._put_guest, peer=self._put_peer)
+
+    def _put_home(self, ref: str, stamp: int, raw: bytes | None) -> None:
+        if raw is None:
+            self.home.pop(ref, None)
+            self.open_home.discard(ref)
+        else:
+            book = self.home[ref] = _home.decode(raw)
+            if book.loan.state in OPEN_HOME:
+                self.open_home.add(ref)
+            else:
+                self.open_home.discard(ref)
+        self.mark(ref)
+        self._changed(f"l/{ref}")
+
+    def mark(self, ref: str) -> None:
+        """Tell the job what is lent of it, and what a peer has done. While keys are listed a loan may be read
+        before its job: whoever leads asks for this again before each pass."""
+        job, book = self.view.jobs.get(ref), self.home.get(ref)
+        if job is None:
+            return
+        if book is None:
+            job.lent = 0
+            return
+        job.done |= book.loan.done
+        job.lent = lent_mask(job, book)
+
+    def _put_guest(self, rest: str, stamp: int, raw: bytes | None) -> None:
+        peer, _, ref = rest.partition("/")
+        if raw is None:
+            self.guest.pop((peer, ref), None)
+            self.open_guest.discard((peer, ref))
+        else:
+            book = self.guest[peer, ref] = _guest.decode(raw)
+            if book.loan.state == ho.NONE:
+                self.open_guest.discard((peer, ref))
+            else:
+                self.open_guest.add((peer, ref))
+        self._changed(f"g/{rest}")
+
+    def _put_peer(self, name: str, stamp: int, raw: bytes | None) -> None:
+        if raw is None:
+            self.peers.pop(name, None)
+        else:
+            self.peers[name] = _peer.decode(raw)
+        self._changed(f"peer/{name}")
--- /dev/null
+++ b/pearstep/federation/writes.py
@@ -0,0 +1,104 @@
+"""What is written together with an entry of the books, and under which conditions: the job's own records
+move in the same transaction as its loan, so that no node can route, end or cancel it by what was true
+before. Pure."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from ..core.model import PRIORITIES, Spec, to_ranges
+from ..core.records import CANCELLED, DONE, QUEUED, JobRec
+from ..core.routing import Routing
+from ..core.view import View
+from . import handoff as ho
+from .books import Entry, GuestBook, HomeBook
+from .replica import OPEN_HOME
+
+Writes = tuple[dict[str, Any], dict[str, int]]
+LOWEST = len(PRIORITIES) - 1
+
+
+def local_ref(peer: str, ref: str, number: int) -> str:
+    """A borrowed job's id here: never one that a user may choose, and another one for each loan."""
+    return f"lent-{peer}-{ref.removeprefix('req-')}-{number}"
+
+
+def belongs(peer: str, local: str) -> bool:
+    """Whether a borrowed job is this peer's."""
+    return re.fullmatch(rf"lent-{re.escape(peer)}-[0-9]{{1,20}}-[0-9]+", local) is not None
+
+
+def team_of(peer: str) -> str:
+    """The team that a peer's jobs count for: one without a guarantee."""
+    return f"peer:{peer}"
+
+
+def borrowed(spec: Spec) -> bool:
+    """Whether a job is a peer's: such a job is never lent on."""
+    return spec.ref.startswith("lent-")
+
+
+def borrowed_rec(peer: str, ref: str, book: GuestBook, wall_us: int) -> JobRec | None:
+    """The job that runs for a loan: with the numbers of its home's tasks, those that are not lent left out,
+    in the lowest priority and in a class of its own, so that it takes part in no aim or guarantee of ours."""
+    if book.spec is None or book.loan.state != ho.HOLDING:
+        return None
+    spec = msgspec.structs.replace(
+        book.spec, ref=local_ref(peer, ref, book.loan.number), team=team_of(peer),
+        cls=f"{peer}:{book.spec.cls}", priority=LOWEST, deadline_us=None,
+    )  # fmt: skip
+    return JobRec(spec, wall_us, skip=to_ranges(spec.all_tasks & ~book.loan.rows))
+
+
+def home_writes(view: View, ref: str, entry: Entry, wall_us: int) -> Writes | None:
+    """The transaction of an entry of home; None if the job does not allow it any more."""
+    assert isinstance(entry.after, HomeBook)
+    job = view.jobs.get(ref)
+    if job is None:
+        return None
+    key = entry.key
+    loan = entry.after.loan
+    before = entry.before.loan.state if isinstance(entry.before, HomeBook) else ho.AT_HOME
+    puts: dict[str, Any] = {key: entry.after}
+    conditions = {key: view.stamp(key)}
+    if loan.state in (ho.OFFERED, ho.GRANTED) and loan.state != before:
+        # A cancellation that another node has taken must not be overtaken by a grant.
+        if job.state != QUEUED:
+            return None
+        conditions[f"j/{ref}"] = job.stamp
+    if loan.state == ho.OFFERED and before != ho.OFFERED:
+        if loan.rows & (job.run | job.done) or job.wide:
+            return None
+        routing = Routing(job)
+        for part, route in job.routes.items():
+            if route.mask & loan.rows:
+                routing.remove(part, loan.rows)
+        more, when = routing.writes()
+        puts |= more
+        conditions |= when
+    if job.state == QUEUED and loan.state not in OPEN_HOME:
+        done = (job.done | loan.done) == job.spec.all_tasks and job.spec.kind != "service"
+        end = DONE if done else CANCELLED if loan.answer == "cancelled" else ""
+        if end:
+            puts[f"j/{ref}"] = JobRec(job.spec, job.at_us, end, wall_us)
+            conditions[f"j/{ref}"] = job.stamp
+    return puts, conditions
+
+
+def guest_writes(view: View, peer: str, ref: str, entry: Entry, wall_us: int) -> Writes | None:
+    """The transaction of an entry of the guest."""
+    assert isinstance(entry.after, GuestBook)
+    loan = entry.after.loan
+    puts: dict[str, Any] = {entry.key: entry.after}
+    conditions = {entry.key: view.stamp(entry.key)}
+    if loan.state == ho.STOPPING:
+        # From here on nothing of it starts: the job is withdrawn in the same step, or can't come to be.
+        key = f"j/{local_ref(peer, ref, loan.number)}"
+        job = view.jobs.get(key[2:])
+        conditions[key] = view.stamp(key)
+        if job is not None and job.state == QUEUED:
+            puts[key] = JobRec(job.spec, job.at_us, CANCELLED, wall_us)
+    return puts, conditions
--- a/pearstep/jobs/description.py
+++ b/pearstep/jobs/description.py
@@ -188,6 +188,12 @@
     return None
 
 
+def home_name(job: str) -> str:
+    """A job's id as its user knows it: one that a peer lent has another id here."""
+    lent = re.fullmatch(r"lent-.+-([0-9]{1,20})-[0-9]+", job)
+    return f"req-{lent[1]}" if lent else job
+
+
 def encode(job: Description) -> bytes:
     """What is uploaded."""
     return msgspec.json.encode(job)
--- a/pearstep/local/layout.py
+++ b/pearstep/local/layout.py
@@ -12,7 +12,7 @@
 
 from ..standin.cloud import MachineKind, free_port
 
-CLUSTER = "cluster.yaml"
+CLUSTER, FEDERATION, KEYS = "cluster.yaml", "federation.yaml", "keys"
 
 
 class TeamLimit(msgspec.Struct, forbid_unknown_fields=True):
@@ -40,6 +40,10 @@
     machines: list[MachineKind] = []
     archive: dict[str, Any] = {}
     worker: dict[str, Any] = {}
+    # The name of this site towards peers, and where its controllers take links; none: it has no peers.
+    site: str = ""
+    links: dict[str, str] = {}
+    federation: dict[str, Any] = {}
 
 
 class LayoutError(Exception):
@@ -57,8 +61,10 @@
         raise LayoutError(f"{file}: {' '.join(str(err).split())}") from None
 
 
-def make(root: Path, nodes: int, archives: int, machines: int, cpus: float, memory_gb: float) -> Cluster:
-    """The cluster of a folder, made if it is not there yet."""
+def make(
+    root: Path, nodes: int, archives: int, machines: int, cpus: float, memory_gb: float, site: str = ""
+) -> Cluster:
+    """The cluster of a folder, made if it is not there yet; ``site`` names it towards peers."""
     file = root / CLUSTER
     if file.exists():
         return load(root)
@@ -74,6 +80,8 @@
         f"127.0.0.1:{free_port()}", copies, copies, [TeamLimit("default")],
         [MachineKind("local", per_machine, max(memory_gb / machines, 0.5), most=machines)],
     )  # fmt: skip
+    if site:
+        cluster.site, cluster.links = site, at("node", nodes)
     save(root, cluster)
     return cluster
 
@@ -121,6 +129,11 @@
             "copies": cluster.copies, "durable_on": cluster.durable_on, "lease_s": 3.0, "patience_s": 3.0,
             **cluster.archive,
         }))  # fmt: skip
+    if cluster.site:
+        (conf / FEDERATION).write_text(yaml.safe_dump({
+            "keys": str((root / KEYS).resolve()), "binds": cluster.links,
+            "archives": list(cluster.archives.values()), **cluster.federation,
+        }))  # fmt: skip
     (conf / "cloud.yaml").write_text(yaml.safe_dump({
         "bind": cluster.cloud, "directory": str((root / "machines").resolve()),
         "kinds": [msgspec.to_builtins(k) for k in cluster.machines],
--- a/pearstep/local/supervisor.py
+++ b/pearstep/local/supervisor.py
@@ -14,7 +14,7 @@
 from ..core.states import Table
 from ..links.clocks import now_us
 from ..links.http import Client
-from .layout import Cluster, write_settings
+from .layout import FEDERATION, Cluster, write_settings
 
 log = structlog.get_logger("pearstep.up")
 
@@ -73,12 +73,13 @@
         write_settings(root, cluster)
         conf = root / "conf"
         me = [sys.executable, "-m", "pearstep"]
+        more = ["--federation", str(conf / FEDERATION)] if cluster.site else []
         self.children = [
             Child("state", [*me, "standin", "state", str(conf / "state.yaml")], cluster.state, "/kv?limit=1"),
             Child("cloud", [*me, "standin", "cloud", str(conf / "cloud.yaml")], cluster.cloud, "/flavors"),
             *(Child(n, [*me, "archive", "--config", str(conf / f"{n}.yaml")], a, "/ready")
               for n, a in cluster.archives.items()),
-            *(Child(n, [*me, "node", "--config", str(conf / f"{n}.toml")], a, "/ready")
+            *(Child(n, [*me, "node", "--config", str(conf / f"{n}.toml"), *more], a, "/ready")
               for n, a in cluster.nodes.items()),
         ]  # fmt: skip
         (root / "logs").mkdir(exist_ok=True)
--- a/pearstep/node/chief.py
+++ b/pearstep/node/chief.py
@@ -66,9 +66,11 @@
         self.since_us = now_us()
         self.ownerless_us = now_us()
 
-    async def _write(
+    async def commit(
         self, puts: dict[str, Any], conditions: dict[str, int], deletes: list[str] | None = None
     ) -> str:
+        """Write under this leadership's stamp; how it ended (``links.store``). What is committed is known
+        here at once, and after a conflict the view is read anew."""
         outcome = await self.store.txn(
             {"leader": self.stamp, **conditions}, {k: (v, None) for k, v in puts.items()}, deletes
         )
@@ -126,7 +128,7 @@
 
     async def _write_routes(self, puts: dict[str, Any], conditions: dict[str, int]) -> None:
         log.debug("routing %s", " ".join(puts))
-        await self._write(puts, conditions)
+        await self.commit(puts, conditions)
 
     async def tend_fleet(self) -> None:
         """Rent for what finds no room, return what is not needed, repeat what was not answered."""
@@ -163,7 +165,7 @@
         # Never used again, by any node: the stamp is this leadership's alone.
         name = f"r-{self.stamp}-{self.requests}"
         rec = HireRec(wish.type, wish.zone, wish.spot, wish.count, self.wall_us())
-        if await self._write({f"h/{name}": rec}, {f"h/{name}": 0}) == COMMITTED:
+        if await self.commit({f"h/{name}": rec}, {f"h/{name}": 0}) == COMMITTED:
             await self._ask(name, rec)
 
     async def _ask(self, name: str, rec: HireRec) -> None:
@@ -176,13 +178,13 @@
         if answer is False:
             log.info("rent %d %s in %s: none to be had", rec.count, rec.type, rec.zone)
             self.fleet.note_refusal((rec.type, rec.zone, rec.spot), self.now_us())
-            await self._write({}, condition, [key])
+            await self.commit({}, condition, [key])
         elif isinstance(answer, list):
             log.info("rented %d of %d %s in %s spot=%s: %s", len(answer), rec.count, rec.type, rec.zone,
                      rec.spot, ",".join(answer))
             if len(answer) < rec.count:
                 self.fleet.note_refusal((rec.type, rec.zone, rec.spot), self.now_us())
-            await self._write({key: msgspec.structs.replace(rec, machines=answer)}, condition)
+            await self.commit({key: msgspec.structs.replace(rec, machines=answer)}, condition)
 
     async def _repeat_hires(self, now: int) -> None:
         for name, rec in list(self.view.hires.items()):
@@ -197,13 +199,13 @@
         ]  # fmt: skip
         over = over[: self.settings.txn_ops]
         if len(over) >= 4:
-            await self._write({}, {key: self.view.stamp(key) for key in over}, over)
+            await self.commit({}, {key: self.view.stamp(key) for key in over}, over)
 
     async def _drain(self, drains: dict[str, DrainRec]) -> None:
         most = self.settings.txn_ops
         puts = {f"d/{name}": rec for name, rec in list(drains.items())[:most]}
         log.info("returning %s", ", ".join(f"{n} ({r.why})" for n, r in drains.items()))
-        await self._write(puts, dict.fromkeys(puts, 0))
+        await self.commit(puts, dict.fromkeys(puts, 0))
 
     async def _check_list(self) -> None:
         """Machines that failed, or that nobody expects and that never came up, are deleted."""
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -20,6 +20,7 @@
 from ..wire import node as wire
 from .chief import Chief
 from .cloud import Cloud
+from .extension import Extension
 from .following import Follower
 from .holding import Holding
 from .leading import Leading
@@ -36,8 +37,9 @@
 class Controller:
     """One node."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, extension: Extension | None = None) -> None:
         self.settings = settings
+        self.extension = extension
         self.node = settings.node
         limits = settings.params
         ends = settings.platform.endpoints
@@ -84,8 +86,12 @@
             self.dirty, self.holding.awake, self._changed,
         )  # fmt: skip
         self.leading = Leading(
-            leading, self.holding, self.store, self.cloud, self.types, self.route_due, self._sync_ready
-        )
+            leading, self.holding, self.store, self.cloud, self.types, self.route_due, self._sync_ready,
+            extension,
+        )  # fmt: skip
+        if extension is not None:
+            self.users.cancelling = extension.cancelling
+            extension.attach(self)
 
     # -- serving ---------------------------------------------------------------------------------
 
@@ -103,6 +109,8 @@
 
     async def _answer_user(self, request: HTTPServerRequest) -> Answer:
         answer = await self.users.handle(request)
+        if answer is None and self.extension is not None:
+            answer = self.extension.handle(request)
         return answer if answer is not None else (404, wire.error_answer("no such path"), {})
 
     async def run(self) -> None:
@@ -118,6 +126,8 @@
             self.holding.tick, self.owning.step,
             self.leading.plan, self.leading.read_types, self.leading.tend_fleet,
         ]  # fmt: skip
+        if self.extension is not None:
+            loops += self.extension.loops()
         await asyncio.gather(*(self._forever(loop) for loop in loops))
 
     async def _forever(self, loop: Callable[[], Awaitable[None]]) -> None:
--- /dev/null
+++ b/pearstep/node/extension.py
@@ -0,0 +1,39 @@
+"""What a node may carry beyond its own parts: an interface, so that a node without it imports nothing of
+it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Protocol
+
+from tornado.httputil import HTTPServerRequest
+
+from ..core.job import Job
+from ..links.http import Answer
+
+if TYPE_CHECKING:
+    from .chief import Chief
+    from .controller import Controller
+
+
+class Extension(Protocol):
+    """Something that lives in a controller, such as lending to peers."""
+
+    def attach(self, controller: Controller) -> None:
+        """The node is made; nothing has been read yet."""
+
+    def loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Rounds to be run for ever beside the node's own."""
+
+    async def planning(self, chief: Chief) -> None:
+        """Before a pass of the leader. No route is on its way then."""
+
+    def planned(self, chief: Chief) -> None:
+        """After a pass of the leader, before it is written."""
+
+    async def cancelling(self, job: Job) -> dict[str, int] | None:
+        """A user cancels: conditions under which that may be written now, or None if it must wait, in which
+        case the wish is written down."""
+
+    def handle(self, request: HTTPServerRequest) -> Answer | None:
+        """A request that is nobody else's; None if it is not this one's either."""
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -46,6 +46,7 @@
         self.lease: int | None = None
         self.part_gone: dict[int, int] = {}
         self._settling = False
+        self._warned = False
         self._new_owner = new_owner
         self._new_chief = new_chief
         self._on_gain = on_gain
@@ -163,7 +164,12 @@
         holder = self.view.parts.get(home)
         if home not in self.owners and (holder is None or holder.stamp != 0):
             await self._claim(f"part/{home}")
-        if self.chief is None:
+        if self.chief is None and self.view.unread_loans:
+            # Whoever leads must know what is lent, or it would start that here as well.
+            if not self._warned:
+                log.error("jobs of this cluster are lent to peers: start this node with --federation FILE")
+                self._warned = True
+        elif self.chief is None:
             lead = self.view.leader
             if lead is None or lead.node == self.node:
                 if lead is None and home:
--- a/pearstep/node/leading.py
+++ b/pearstep/node/leading.py
@@ -11,6 +11,7 @@
 from ..links.clocks import now_us
 from ..links.store import Store
 from .cloud import Cloud
+from .extension import Extension
 from .holding import Holding
 from .owning import rest_after
 from .settings import Leading as LeadingSettings
@@ -22,6 +23,7 @@
     def __init__(
         self, settings: LeadingSettings, holding: Holding, store: Store, cloud: Cloud,
         types: dict[str, MachineType], due: asyncio.Event, types_known: Callable[[], None],
+        extension: Extension | None = None,
     ) -> None:  # fmt: skip
         self.settings = settings
         self.holding = holding
@@ -30,6 +32,7 @@
         self.types = types
         self.due = due
         self._types_known = types_known
+        self._extension = extension
 
     async def plan(self) -> None:
         """One pass over what waits, once something asks for it."""
@@ -42,9 +45,13 @@
         if chief is None or self.store.refused_since is not None or not self.holding.awake():
             await asyncio.sleep(0.1)
             return
+        if self._extension is not None:
+            await self._extension.planning(chief)
         begun = now_us()
         plans = chief.plan()
         thought = now_us() - begun
+        if self._extension is not None:
+            self._extension.planned(chief)
         await chief.write(plans)
         await rest_after(self.settings, now_us() - thought)
 
--- a/pearstep/node/users.py
+++ b/pearstep/node/users.py
@@ -56,6 +56,7 @@
         self._apply = apply
         self._wall_us = wall_us
         self.home: int | None = None
+        self.cancelling: Callable[[Job], Awaitable[dict[str, int] | None]] | None = None
         self._retry = {"Retry-After": str(retry_after_s)}
         self._most = txn_ops
         self._queue: list[tuple[Spec, asyncio.Future[str]]] = []
@@ -214,8 +215,17 @@
             if job.final:
                 return 200, wire.job_answer(ref, job.state), {}
             key = f"j/{ref}"
+            conditions = {key: job.stamp}
+            if self.view.unread_loans:
+                return self.away("there are loans that this node cannot read: start it with --federation")
+            if self.cancelling is not None:
+                more = await self.cancelling(job)
+                if more is None:
+                    # A peer has it. Never "cancelled" before nothing of it can run any more.
+                    return self.away("lent to a peer, which has been told to stop it")
+                conditions |= more
             rec = JobRec(job.spec, job.at_us, CANCELLED, self._wall_us())
-            outcome = await self.store.txn({key: job.stamp}, {key: (rec, None)}, urgency=URGENT)
+            outcome = await self.store.txn(conditions, {key: (rec, None)}, urgency=URGENT)
             if outcome.state == COMMITTED:
                 self._apply(key, outcome.revision, rec)
                 log.info("cancelled %s", ref)
--- a/pearstep/worker/run.py
+++ b/pearstep/worker/run.py
@@ -7,7 +7,7 @@
 
 from ..archive.records import Key, Seal
 from ..core.states import Table
-from ..jobs.description import Description
+from ..jobs.description import Description, home_name
 from ..links.clocks import wall_us
 from .folder import CHECKPOINT, Folder, RunNote, lengths
 from .mates import Mates
@@ -84,7 +84,8 @@
             (folder / "task" / name).write_text(text)
         env = {k: v for k, v in os.environ.items() if k in PASSED_ON}
         env |= {
-            "HOME": str(folder / "task"), "PEARSTEP_JOB": self.job, "PEARSTEP_TASK": str(self.task),
+            "HOME": str(folder / "task"), "PEARSTEP_JOB": home_name(self.job),
+            "PEARSTEP_TASK": str(self.task),
             "PEARSTEP_TASKS": str(job.tasks), "PEARSTEP_ATTEMPT": str(self.attempt),
         }  # fmt: skip
         if self.checkpoint is not None:
@@ -93,7 +94,7 @@
         if self.image is not None:
             env["PEARSTEP_IMAGE"] = str(self.image)
         values: dict[str, str | int] = {
-            "job": self.job, "task": self.task, "tasks": job.tasks, "attempt": self.attempt,
+            "job": home_name(self.job), "task": self.task, "tasks": job.tasks, "attempt": self.attempt,
         }  # fmt: skip
         try:
             self.process = Process(
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,515 @@
+"""Lending's place in a controller: what is written with a loan, who may cancel, what is reckoned. Two
+clusters of records, each with its own revision, whose leaders, users and owners act in generated order."""
+
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pearstep.core.job import Job
+from pearstep.core.leader import Leader
+from pearstep.core.model import Team
+from pearstep.core.records import CANCELLED, DONE, QUEUED, JobRec, Place, PlaceRec, RouteRec
+from pearstep.core.view import View
+from pearstep.federation import handoff as ho
+from pearstep.federation.books import Books, Entry, GuestBook, HomeBook, Need
+from pearstep.federation.carrying import home_key, pieces
+from pearstep.federation.overflow import Grant, Lend
+from pearstep.federation.reckon import Look, give_way, may_go, room, waiting
+from pearstep.federation.replica import Loans, PeerRec
+from pearstep.federation.settings import FederationError, load
+from pearstep.federation.writes import (
+    belongs,
+    borrowed_rec,
+    guest_writes,
+    home_writes,
+    local_ref,
+)
+from pearstep.jobs.description import home_name
+
+from .world import TYPES, Ledger, spec
+
+S = 1_000_000
+NEED = Need(1.0, 0.0, 1.0)
+
+
+class Cluster:
+    """The records of a cluster, and a view of them."""
+
+    def __init__(self):
+        self.ledger = Ledger()
+        self.view = View()
+        self.changed = []
+        self.loans = Loans(self.view, self.changed.append)
+        self.books = Books(7, {"huye": Grant(100, 100, 1000)}, 30 * S)
+        self.books.share(self.loans.home, self.loans.guest)
+
+    def write(self, writes):
+        if writes is None:
+            return False
+        puts, conditions = writes
+        outcome = self.ledger.txn(conditions, {k: msgspec.to_builtins(v) for k, v in puts.items()})
+        if not isinstance(outcome, int):
+            return False
+        for key, value in puts.items():
+            self.view.put(key, outcome, msgspec.json.encode(value), 0)
+        return True
+
+    def put(self, key, value):
+        assert self.write(({key: value}, {}))
+
+    def home(self, entry):
+        return entry is not None and self.write(home_writes(self.view, entry.key[2:], entry, 9))
+
+    def guest(self, entry):
+        _, peer, ref = entry.key.split("/")
+        return self.write(guest_writes(self.view, peer, ref, entry, 9))
+
+    def job(self, **fields):
+        one = spec(ref="req-1", **fields)
+        self.put("j/req-1", JobRec(one, 1))
+        return self.view.jobs["req-1"]
+
+    def offer(self, job, rows):
+        return self.books.lend("req-1", job.spec.tasks, NEED, Lend("req-1", "kigali", rows),
+                               job.run | job.done, False, job.spec)  # fmt: skip
+
+
+def hear(cluster, kind, **fields):
+    loan = cluster.loans.home["req-1"].loan
+    return cluster.books.act("req-1", ho.home_hears(loan, ho.Message(kind, loan.number, **fields)))
+
+
+def test_an_offer_takes_the_route_away_and_what_was_placed_meanwhile_stays():
+    one = Cluster()
+    job = one.job(kind="array", tasks=4)
+    one.put("r/0/req-1", RouteRec("0-3"))
+    entry = one.offer(job, 2)
+    # The owner places a task after the decision, before the write: the offer does not stand.
+    one.ledger.txn({}, {"p/0/req-1/0": msgspec.to_builtins(PlaceRec({0: Place("i-1", 1, 1, 1)}, last=1))})
+    assert not one.home(entry) and not job.lent and job.routed == 0b1111
+    placed = msgspec.json.encode(PlaceRec({0: Place("i-1", 1, 1, 1)}))
+    one.view.put("p/0/req-1/0", one.ledger.revision, placed, 0)
+    assert one.home(one.offer(job, 2))
+    # The running task is not among what is lent, and what is lent is not routed.
+    assert job.lent == 0b0110 and job.routed == 0b1001
+
+
+def test_a_cancellation_and_a_grant_cannot_both_stand():
+    for first in ("cancel", "grant"):
+        one = Cluster()
+        job = one.job(kind="array", tasks=2)
+        assert one.home(one.offer(job, 2))
+        grant = hear(one, ho.ACCEPT)
+        # Any node: under the conditions that it was told.
+        stamps = {"j/req-1": job.stamp, "l/req-1": one.view.stamp("l/req-1")}
+        cancel = ({"j/req-1": JobRec(job.spec, 1, CANCELLED, 2)}, stamps)
+        granted, cancelled = (one.home(grant), one.write(cancel)) if first == "grant" else (
+            one.write(cancel), one.home(grant))[::-1]  # fmt: skip
+        assert granted != cancelled
+        assert job.final == cancelled
+        assert one.loans.home["req-1"].loan.state == (ho.GRANTED if granted else ho.OFFERED)
+
+
+def test_a_lent_job_that_is_cancelled_ends_with_the_guests_word():
+    one = Cluster()
+    job = one.job(kind="array", tasks=3)
+    assert one.home(one.offer(job, 2)) and one.home(hear(one, ho.ACCEPT))
+    # What any node writes when a user cancels: the wish alone.
+    book = one.loans.home["req-1"]
+    one.put("l/req-1", msgspec.structs.replace(book, loan=ho.cancel(book.loan)[0]))
+    assert job.state == QUEUED and job.lent == job.spec.all_tasks and not job.waits
+    assert "l/req-1" in one.changed and one.loans.home["req-1"].loan.state == ho.RECALLING
+    assert one.home(hear(one, ho.OVER, rows=0b011, done=0b001))
+    assert job.state == CANCELLED and one.loans.open_home == set()
+
+
+def test_the_last_result_ends_the_job_wherever_it_comes_from():
+    one = Cluster()
+    job = one.job(kind="array", tasks=3)
+    assert one.home(one.offer(job, 2)) and one.home(hear(one, ho.ACCEPT))
+    one.put("r/0/req-1", RouteRec("2"))
+    one.put("p/0/req-1/0", PlaceRec({}, "4", 1))
+    assert job.state == QUEUED and job.done == 0b100
+    assert one.home(hear(one, ho.RESULT, rows=0b011, done=0b011))
+    assert job.state == DONE and one.loans.home["req-1"].loan.done == 0b011
+    other = Cluster()
+    job = other.job(kind="array", tasks=3)
+    assert other.home(other.offer(job, 2)) and other.home(hear(other, ho.ACCEPT))
+    assert other.home(hear(other, ho.RESULT, rows=0b011, done=0b011))
+    # Its own task still runs: its owner will find the job complete.
+    assert job.state == QUEUED and job.done == 0b011 and not job.lent
+    other.put("p/0/req-1/0", PlaceRec({}, "4", 1))
+    assert job.complete
+
+
+def test_what_is_borrowed_runs_with_the_numbers_of_home_and_in_no_aim_of_ours():
+    there = Cluster()
+    one = spec(ref="req-5", kind="array", tasks=6, priority=0, team="t", cls="urgent", deadline_us=5)
+    book = GuestBook(ho.GuestLoan(ho.HOLDING, 9, 0b011000, high=9), NEED, 3, one)
+    rec = borrowed_rec("huye", "req-5", book, 50)
+    there.put("j/" + rec.spec.ref, rec)
+    job = there.view.jobs["lent-huye-5-9"]
+    assert job.spec.team == "peer:huye" and job.spec.priority == 3 and job.spec.deadline_us is None
+    assert job.spec.all_tasks & ~job.done == 0b011000 and job.waits and not job.complete and job.faults == 0
+    assert home_name(job.spec.ref) == "req-5" and home_name("req-5") == "req-5"
+    leader = Leader(1, there.view, TYPES, {"t": Team("t")}, 1, 12, {"urgent": (1,)})
+    assert leader.ordered(0, 60) == [job]
+    there.put("p/0/lent-huye-5-9/0", PlaceRec({}, f"{0b011000:x}", 1))
+    assert job.complete
+    assert borrowed_rec("huye", "req-5", msgspec.structs.replace(book, spec=None), 0) is None
+
+
+def test_stopping_a_loan_and_beginning_its_job_cannot_both_stand():
+    one = spec(ref="req-5", kind="array", tasks=2)
+    for first in ("begin", "stop"):
+        there = Cluster()
+        book = GuestBook(ho.GuestLoan(ho.HOLDING, 9, 0b11, high=9), NEED, 3, one)
+        there.put("g/huye/req-5", book)
+        local = "j/" + local_ref("huye", "req-5", 9)
+        begin = ({local: borrowed_rec("huye", "req-5", book, 5)},
+                 {"g/huye/req-5": there.view.stamp("g/huye/req-5"), local: 0})  # fmt: skip
+        stop = there.books.act_as_guest("huye", "req-5", (ho.give_back(book.loan), []))
+        if first == "begin":
+            assert there.write(begin)
+            # Decided before the job was there, written after: it withdraws the job as well.
+            assert there.guest(stop)
+            assert there.view.jobs[local[2:]].state == CANCELLED
+        else:
+            assert there.guest(stop) and not there.write(begin)
+            assert local[2:] not in there.view.jobs
+
+
+def test_loans_that_are_read_before_their_job_are_known_once_they_are_marked():
+    one = Cluster()
+    job = one.job(kind="array", tasks=2)
+    assert one.home(one.offer(job, 2))
+    late = View()
+    loans = Loans(late, lambda key: None)
+    for key in ("l/req-1", "j/req-1"):
+        stamp, raw = next((s, raw) for s, k, raw in reversed(one.ledger.log) if k == key)
+        late.put(key, stamp, raw, 0)
+    loans.mark("req-1")
+    assert late.jobs["req-1"].lent == 0b11
+    late.delete("l/req-1", one.ledger.revision + 1)
+    assert late.jobs["req-1"].lent == 0 and not loans.open_home
+
+
+def test_a_node_without_lending_says_so_when_there_are_loans():
+    view = View()
+    assert not view.put("l/req-1", 3, b"{}", 0) and view.unread_loans
+    assert not View().unread_loans
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 30), st.integers(0, 5), st.booleans()), max_size=8),
+    st.integers(0, 12), st.integers(0, 10),
+)  # fmt: skip
+def test_what_gives_way_covers_what_waits_and_no_more(rows, wants, waited):
+    loans, jobs = [], {}
+    for i, (since, running, holding) in enumerate(rows):
+        one = spec(ref=f"lent-huye-{i}-1", kind="array", tasks=5, cpus=1.0)
+        job = Job(JobRec(one, 0), 1, 0)
+        job.run = (1 << running) - 1
+        state = ho.HOLDING if holding else ho.STOPPING
+        loans.append((("huye", f"req-{i}"), GuestBook(ho.GuestLoan(state, 1, 31), Need(1, 0, 0), since), job))
+        jobs["huye", f"req-{i}"] = (since, running, holding)
+    seen = Look(own=(float(wants), 0.0, 0.0), own_since_us=0 if wants else None)
+    out = give_way(seen, loans, waited * S, 5 * S, 10**12, 0)
+    assert all(jobs[name][2] and jobs[name][1] for name in out)
+    freed = sum(jobs[name][1] for name in out)
+    there = sum(running for _, running, holding in jobs.values() if holding)
+    if waited < 5 or not wants:
+        assert out == []
+    else:
+        assert freed >= min(wants, there)
+        # None of it was in vain: without the last one it would not have been enough.
+        assert not out or freed - jobs[out[-1]][1] < wants
+        assert [jobs[n][0] for n in out] == sorted((jobs[n][0] for n in out), reverse=True)
+    idle = [name for name, (_, running, holding) in jobs.items() if holding and not running]
+    assert sorted(give_way(Look(), loans, 0, 5 * S, 0, 0)) == sorted(idle)
+
+
+def test_what_is_offered_is_idle_and_nobody_waits_for_it():
+    seen = Look(free=(50, 0, 100), own=(20, 0, 0), lent=(10, 0, 0))
+    zero = (0.0, 0.0, 0.0)
+    grant = Grant(100, 0, 100, spare=0)
+    assert room(grant, seen, zero, (5.0, 0.0, 0.0), False) == (15, 0, 100)
+    assert room(grant, seen, zero, zero, True) == zero
+    # What may be rented is offered whether it is there or not, less what is held.
+    assert room(Grant(30, 0, 30, rent=True), seen, (10.0, 0.0, 40.0), zero, False) == (20, 0, 0)
+
+
+def world_with(tasks, machines, running):
+    one = Cluster()
+    from pearstep.core.records import HolderRec, MachineRec
+
+    one.put("part/0", HolderRec("a"))
+    kind = next(iter(TYPES.values()))
+    for i in range(machines):
+        one.put(f"m/0/i-{i}", MachineRec(kind.name, "a", False, "x"))
+    busy = spec(ref="req-9", kind="array", tasks=machines, cpus=kind.cpus, memory_gb=1.0, estimate_us=100 * S)
+    one.put("j/req-9", JobRec(busy, 0))
+    places = {i: Place(f"i-{i}", 1, 1, 0) for i in range(running)}
+    one.put("r/0/req-9", RouteRec(f"0-{machines - 1}"))
+    one.put("p/0/req-9/0", PlaceRec(places, "0", 1))
+    return one, kind
+
+
+def test_what_waits_is_reckoned_behind_what_runs():
+    one, kind = world_with(2, 2, 2)
+    one.put("j/req-1", JobRec(spec(ref="req-1", kind="gang", tasks=2, cpus=kind.cpus, memory_gb=1.0,
+                                   estimate_us=50 * S), 0))  # fmt: skip
+    one.put("j/req-2", JobRec(spec(ref="req-2", kind="gang", tasks=2, cpus=kind.cpus, memory_gb=1.0,
+                                   estimate_us=50 * S, zone="a"), 1))  # fmt: skip
+    leader = Leader(1, one.view, TYPES, {"t": Team("t")}, 1, 12, {})
+    leader.plan(20 * S, 0, 20 * S)
+    rows = waiting(leader, 1, {}, 30 * S, 10 * S, {"req-1": 2}, 20 * S, 20 * S)
+    # Both machines are free at 100 s. What is bound to a zone of ours stays, but keeps its turn.
+    assert [(w.ref, w.start_us, w.aim_us, w.rows, w.pivot, w.returned) for w in rows] == [
+        ("req-1", 80 * S, 10 * S, 2, True, 2)
+    ]
+    assert waiting(leader, 1, {}, 30 * S, 25 * S, {}, 20 * S, 20 * S) == []
+    assert not may_go(one.view.jobs["req-2"])
+
+
+@given(st.binary(max_size=30), st.lists(st.tuples(st.integers(0, 30), st.integers(1, 5)), max_size=4))
+def test_holes_stay_holes_when_a_log_is_carried_home(data, cuts):
+    holes, at, kept = [], 0, bytearray(data)
+    for gap, length in cuts:
+        offset = at + gap
+        if offset + length > len(data):
+            break
+        holes.append((100 + offset, length))
+        kept[offset : offset + length] = bytes(length)
+        at = offset + length
+    parts = pieces(100, bytes(kept), holes)
+    position = 100
+    for offset, length, part in parts:
+        assert offset == position and length > 0 and (part is None or len(part) == length)
+        position += length
+    assert position == 100 + len(data)
+    assert [(o, n) for o, n, p in parts if p is None] == holes
+
+
+def test_names_of_what_is_lent():
+    local = local_ref("huye", "req-42", 7)
+    assert local == "lent-huye-42-7" and belongs("huye", local)
+    for peer in ("hu", "huye-42", "nyarugenge"):
+        assert not belongs(peer, local)
+    attempt = {"task": 3, "attempt": 2, "machine": "i-7", "start": 4}
+    assert home_key("nyarugenge", "req-1", attempt).machine == "nyarugenge.i-7"
+
+
+def test_settings_are_checked(tmp_path):
+    file = tmp_path / "f.yaml"
+    file.write_text("keys: k\nbinds: {node-0: 127.0.0.1:1}\nleaving: {keep_teams: [a], least_gain_s: 2}\n")
+    assert load(str(file)).leaving.policy().least_gain_us == 2 * S
+    for text, why in (
+        ("keys: k\nbinds: {}\n", "names no controller"),
+        ("keys: k\nbinds: {a: x}\n", "binds"),
+        ("keys: k\nbinds: {a: 127.0.0.1:1}\noffer_s: 40\n", "offer_s must be less"),
+        ("keys: k\nbinds: {a: 127.0.0.1:1}\nfoo: 1\n", "foo"),
+    ):
+        file.write_text(text)
+        with pytest.raises(FederationError, match=why):
+            load(str(file))
+
+
+# -- two clusters, everything in generated order ------------------------------------------------
+
+
+class Both:
+    """Home and guest as their controllers act on them: each step is one transaction of one side."""
+
+    def __init__(self):
+        self.home, self.there = Cluster(), Cluster()
+        self.wire = []
+        self.answers = []
+        self.ran = []
+
+    def say(self, to, says):
+        self.wire += [(to, m) for m in says]
+
+    def do(self, cluster, write, entry, to):
+        if entry is not None and write(entry):
+            self.say(to, [s.message for s in entry.says])
+            return True
+        return False
+
+    def hear(self, to, message):
+        if to == "guest":
+            book = self.there.loans.guest.get(("huye", "req-1")) or GuestBook(ho.GuestLoan())
+            loan, says = ho.guest_hears(book.loan, message, True)
+            if loan == book.loan:
+                self.say("home", says)
+                return
+            one = self.home.view.jobs["req-1"].spec if loan.state == ho.RESERVED else book.spec
+            entry = Entry("g/huye/req-1", book, GuestBook(loan, NEED, 0, one), "huye", [])
+            if self.there.guest(entry):
+                self.say("home", says)
+            return
+        book = self.home.loans.home.get("req-1")
+        if book is None:
+            return
+        loan, says = ho.home_hears(book.loan, message)
+        if loan == book.loan or self.home.home(
+            Entry("l/req-1", book, msgspec.structs.replace(book, loan=loan), "kigali", [])
+        ):
+            self.say("guest", says)
+
+    def local(self):
+        book = self.there.loans.guest.get(("huye", "req-1"))
+        if book is None:
+            return None, None, None
+        name = local_ref("huye", "req-1", book.loan.number)
+        return book, name, self.there.view.jobs.get(name)
+
+    def step(self, what):
+        job = self.home.view.jobs["req-1"]
+        book, name, there = self.local()
+        if what == "offer" and not job.final:
+            self.do(self.home, self.home.home, self.home.offer(job, 2), "guest")
+        elif what == "withdraw" and "req-1" in self.home.loans.open_home:
+            loan = self.home.loans.home["req-1"].loan
+            self.do(self.home, self.home.home, self.home.books.act("req-1", ho.withdraw(loan)), "guest")
+        elif what == "cancel" and not job.final:
+            mine = self.home.loans.home.get("req-1")
+            if mine is not None and mine.loan.state in (ho.GRANTED, ho.RECALLING):
+                self.home.put("l/req-1", msgspec.structs.replace(mine, loan=ho.cancel(mine.loan)[0]))
+            else:
+                self.home.put("j/req-1", JobRec(job.spec, 1, CANCELLED, 2))
+                self.answers.append(CANCELLED)
+        elif what == "run here" and not job.final:
+            able = job.spec.all_tasks & ~job.done & ~job.lent
+            if able:
+                task = able.bit_length() - 1
+                self.ran.append(("home", task))
+                raw = PlaceRec({}, f"{(job.done | 1 << task):x}", 1)
+                self.home.put("p/0/req-1/0", raw)
+                if job.complete and job.state == QUEUED:
+                    self.home.put("j/req-1", JobRec(job.spec, 1, DONE, 2))
+        elif what == "begin" and book is not None and there is None:
+            rec = borrowed_rec("huye", "req-1", book, 0)
+            if rec is not None:
+                key = "g/huye/req-1"
+                self.there.write(({f"j/{name}": rec}, {key: self.there.view.stamp(key), f"j/{name}": 0}))
+        elif what == "run there" and there is not None and not there.final:
+            able = there.spec.all_tasks & ~there.done
+            if able:
+                task = able.bit_length() - 1
+                self.ran.append(("guest", task))
+                self.there.put(f"p/0/{name}/0", PlaceRec({}, f"{there.done | 1 << task:x}", 1))
+                if there.complete:
+                    self.there.put(f"j/{name}", JobRec(there.spec, 1, DONE, 2))
+        elif what == "give back" and book is not None and book.loan.state == ho.HOLDING:
+            entry = self.there.books.act_as_guest("huye", "req-1", (ho.give_back(book.loan), []))
+            self.there.guest(entry)
+        elif what == "tend" and book is not None and book.loan.state in (ho.HOLDING, ho.STOPPING):
+            if there is not None and there.final or there is None and book.loan.state == ho.STOPPING:
+                loan, says = book.loan, []
+                done = 0 if there is None else loan.rows if there.state == DONE else there.done & loan.rows
+                for task in range(3):
+                    if done >> task & 1 and loan.state in (ho.HOLDING, ho.STOPPING):
+                        loan, says = ho.done_at_guest(loan, task)
+                if loan.state == ho.STOPPING:
+                    loan, says = ho.stopped(loan)
+                entry = self.there.books.act_as_guest("huye", "req-1", (loan, says))
+                self.do(self.there, self.there.guest, entry, "home")
+        elif what == "again":
+            mine = self.home.loans.home.get("req-1")
+            self.say("guest", ho.home_says(mine.loan) if mine else [])
+            self.say("home", ho.guest_says(book.loan) if book else [])
+
+
+STEPS = st.sampled_from(
+    ["offer", "withdraw", "cancel", "run here", "begin", "run there", "give back", "tend", "again"]
+    + ["deliver"] * 6
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.tuples(STEPS, st.integers(0, 10**6), st.booleans()), max_size=60))
+def test_whatever_the_order_one_answer_and_no_task_is_done_in_both(steps):
+    both = Both()
+    job = both.home.job(kind="array", tasks=3)
+    states = [QUEUED]
+    for what, pick, keep in steps:
+        if what == "deliver":
+            if both.wire:
+                to, message = both.wire[pick % len(both.wire)]
+                if not keep:
+                    both.wire.remove((to, message))
+                both.hear(to, message)
+        else:
+            both.step(what)
+        if job.state != states[-1]:
+            states.append(job.state)
+    # Then the link holds and nobody has a wish any more: everything comes to its end.
+    for _ in range(30):
+        for what in ("again", "begin", "run there", "tend", "run here"):
+            both.step(what)
+        said, both.wire = both.wire, []
+        for to, message in said:
+            both.hear(to, message)
+        if "req-1" in both.home.loans.open_home and job.final:
+            both.step("withdraw")
+        if job.state != states[-1]:
+            states.append(job.state)
+    assert job.state in (DONE, CANCELLED) and len(states) == 2
+    assert len(set(both.ran)) == len(both.ran)
+    tasks = [task for _, task in both.ran]
+    assert len(set(tasks)) == len(tasks), "a task was done in both clusters"
+    if job.state == DONE:
+        assert sorted(tasks) == [0, 1, 2]
+    book, _, _ = both.local()
+    assert book is None or book.loan.state == ho.NONE
+    assert not both.home.loans.open_home
+
+
+def test_records_of_peers_are_read_as_written():
+    one = Cluster()
+    one.put("peer/huye", PeerRec(["127.0.0.1:1"], grant=Grant(4, 0, 4, rent=True)))
+    assert one.loans.peers["huye"].grant.rent
+    one.view.delete("peer/huye", one.ledger.revision + 1)
+    assert one.loans.peers == {}
+
+
+def test_a_cancellation_is_told_to_wait_while_a_peer_has_the_job():
+    from pearstep.federation.place import Federation
+
+    one = Cluster()
+    job = one.job(kind="array", tasks=2)
+
+    class Store:
+        async def txn(self, conditions, puts, urgency=0):
+            from pearstep.links.store import COMMITTED, Outcome
+
+            assert one.write(({k: v for k, (v, _) in puts.items()}, conditions))
+            return Outcome(COMMITTED, one.ledger.revision)
+
+    class Node:
+        store = Store()
+
+        class follower:
+            @staticmethod
+            def applied(key, stamp, value):
+                one.view.put(key, stamp, msgspec.json.encode(value), 0)
+
+    place = Federation.__new__(Federation)
+    place.loans, place.view, place.node = one.loans, one.view, Node()
+
+    def ask():
+        return asyncio.run(place.cancelling(job))
+
+    # Never lent: under the condition that it is still not lent when the cancellation is written.
+    assert ask() == {"l/req-1": 0}
+    assert one.home(one.offer(job, 2))
+    assert ask() == {"l/req-1": one.view.stamp("l/req-1")}
+    assert one.home(hear(one, ho.ACCEPT))
+    assert ask() is None and one.loans.home["req-1"].loan.cancel
+    stamp = one.view.stamp("l/req-1")
+    assert ask() is None and one.view.stamp("l/req-1") == stamp  # asked again: nothing more is written
+    assert isinstance(one.loans.home["req-1"], HomeBook)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -37,7 +37,7 @@
         self.world, self.name, self.other, self.keys = world, name, other, keys
         self.commits = 0
         self.cut = False
-        self.link = Link(keys, {other: addrs[other]}, self.hear)
+        self.link = Link(keys, {other: [addrs[other]]}, self.hear)
         host, _, port = addrs[name].rpartition(":")
         self.link.listen(host, int(port))
         self.stamp = 3
@@ -45,7 +45,8 @@
 
     def open(self, books):
         return Desk(self.name, books, [self.other], Patience(rest_us=0), self.commit, self.send,
-                    lambda: Need(100, 0, 100), lambda: self.world.now, lambda: self.world.now)  # fmt: skip
+                    lambda peer: Need(100, 0, 100), lambda: self.world.now,
+                    lambda: self.world.now)  # fmt: skip
 
     async def hear(self, peer, envelope):
         if self.cut:
@@ -222,12 +223,12 @@
     async def scenario(world):
         stranger = site(tmp_path, "stranger")
         trust(stranger, world.b.keys)
-        addr = world.a.link.peers["nyarugenge"]
+        addr = world.a.link.peers["nyarugenge"][0]
 
         async def nobody(peer, envelope):
             raise AssertionError("the stranger was answered")
 
-        link = Link(stranger, {"nyarugenge": addr}, nobody)
+        link = Link(stranger, {"nyarugenge": [addr]}, nobody)
         assert await link.send("nyarugenge", Envelope(1, "stranger", [])) is None
         # A peer that speaks in another's name is refused, whatever its certificate.
         assert await world.a.link.send("nyarugenge", Envelope(1, "nyarugenge", [])) is None
