Parts within zones: no owner on the far side of a cut between zones

Cause: the hash deals machines of all zones to every part, so when two zones lose each other, half of each part's machines cannot be answered by their owner, and what runs there dies of its lease though nothing is wrong with it.

Change: a machine's part is among those whose home node is in its zone. The leader writes that once, before a machine is taken in, when every part is held by a node that understands it; workers wait for it with 503; a cluster that ran before stays as it was; a node of another zone takes a part 3 s later. A test lets nodes of both releases see the records with any delay: no machine in two parts.

--- a/pearstep/core/orders.py
+++ b/pearstep/core/orders.py
@@ -32,6 +32,8 @@
     urgent: frozenset[str] = frozenset()
     aims: Aims = field(default_factory=dict)
     spare_us: int = 4 * US
+    # Whether parts keep to their zones (``parts.Layout``).
+    zoned: bool = False
 
 
 @dataclass
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -7,6 +7,7 @@
 ``m/<part>/<machine>``    a machine that has reported; its part's owner writes it.
 ``d/<machine>``           the machine is to be emptied and deleted; the leader or its owner writes it.
 ``h/<name>``              a rental request, written before it is sent; the leader writes it.
+``layout``                how machines are dealt to parts; the leader writes it once.
 ``part/<n>``, ``leader``  who holds a part or the lead; the stamp is the holder's token.
 """
 
@@ -17,6 +18,8 @@
 from .model import Spec
 
 CHUNK = 16_384
+# What a node understands. 1: layouts of parts within zones.
+VERSION = 1
 
 QUEUED, DONE, CANCELLED = "queued", "done", "cancelled"
 
@@ -96,9 +99,18 @@
 
 
 class HolderRec(msgspec.Struct):
-    """The holder of a part or of the lead; no node: given up by one that was cut off, free for any other."""
+    """The holder of a part or of the lead; no node: given up by one that was cut off, free for any other.
+    ``v``: what the node understands, see ``VERSION``."""
 
     node: str
+    v: int = 0
+
+
+class LayoutRec(msgspec.Struct):
+    """How machines are dealt to parts: over those of their zone, the parts' zones being named, or over all.
+    It is written once, before a machine is recorded, and never changes while there are any."""
+
+    zones: list[str] = []
 
 
 RECORDS: dict[str, type[msgspec.Struct]] = {
@@ -110,6 +122,7 @@
     "h": HireRec,
     "part": HolderRec,
     "leader": HolderRec,
+    "layout": LayoutRec,
 }
 DECODERS = {kind: msgspec.json.Decoder(cls) for kind, cls in RECORDS.items()}
 
--- a/pearstep/core/upkeep.py
+++ b/pearstep/core/upkeep.py
@@ -126,6 +126,8 @@
             if (
                 name not in self.machines and name not in self.gone
                 and part_of(name, self.cfg.parts) == self.part
+                # Within zones another part may have it; what it has is emptied before it is deleted.
+                and (not self.cfg.zoned or name not in self.view.machines)
                 and now_us >= self.early_deletes.get(name, 0)
             ):  # fmt: skip
                 self.early_deletes[name] = now_us + 5 * US
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -18,6 +18,7 @@
     HireRec,
     HolderRec,
     JobRec,
+    LayoutRec,
     MachineRec,
     Place,
     PlaceRec,
@@ -32,11 +33,12 @@
 class Holder:
     """Who holds a part or the lead, and since which revision: the token."""
 
-    __slots__ = ("node", "stamp")
+    __slots__ = ("node", "stamp", "version")
 
-    def __init__(self, node: str, stamp: int) -> None:
+    def __init__(self, node: str, stamp: int, version: int = 0) -> None:
         self.node = node
         self.stamp = stamp
+        self.version = version
 
 
 class View:
@@ -52,6 +54,7 @@
         self.hires: dict[str, HireRec] = {}
         self.parts: dict[int, Holder] = {}
         self.leader: Holder | None = None
+        self.layout: LayoutRec | None = None
         self.orphans: dict[str, list[tuple[str, int, bytes | None]]] = {}
         self.unreadable: list[str] = []
         # Records that something beyond the core reads for itself, by kind: it is told the rest of the key,
@@ -110,6 +113,8 @@
             self.parts.pop(int(path[0]), None)
         elif kind == "leader":
             self.leader = None
+        elif kind == "layout":
+            self.layout = None
         elif kind in self.others:
             self.others[kind](key.partition("/")[2], stamp, None)
         return True
@@ -171,9 +176,11 @@
             self.hires[path[0]] = rec
         elif isinstance(rec, HolderRec):
             if path:
-                self.parts[int(path[0])] = Holder(rec.node, stamp)
+                self.parts[int(path[0])] = Holder(rec.node, stamp, rec.v)
             else:
-                self.leader = Holder(rec.node, stamp)
+                self.leader = Holder(rec.node, stamp, rec.v)
+        elif isinstance(rec, LayoutRec):
+            self.layout = rec
 
     def _count_places(self, job: Job, before: Placed | None, after: Placed | None) -> None:
         ref = job.spec.ref
--- a/pearstep/node/chief.py
+++ b/pearstep/node/chief.py
@@ -12,7 +12,8 @@
 from ..core.fleet import Fleet, FleetConfig, Wish
 from ..core.leader import Leader
 from ..core.model import MachineType
-from ..core.records import DrainRec, HireRec
+from ..core.parts import may_settle
+from ..core.records import VERSION, DrainRec, HireRec, LayoutRec
 from ..core.routing import Routing
 from ..core.view import View
 from ..links.store import COMMITTED, CONFLICT, REFUSED, Store
@@ -89,6 +90,20 @@
         """Whether this leadership is not known to be over."""
         return self.view.leader is not None and self.view.leader.stamp == self.stamp
 
+    async def settle_layout(self) -> None:
+        """Say once how machines are dealt to parts, before the first is taken in."""
+        zones = self.settings.zones
+        if self.view.layout is not None or not zones:
+            return
+        holders = [self.view.parts.get(part) for part in range(self.settings.parts)]
+        versions = [h.version if h is not None and h.node else None for h in holders]
+        within = may_settle(len(self.view.machines), versions, VERSION)
+        if within and not self.settings.tuning.leading.parts_within_zones:
+            within = False
+        if within is not None:
+            log.info("machines are dealt to the parts %s", "of their zone" if within else "of all zones")
+            await self.commit({"layout": LayoutRec(list(zones) if within else [])}, {"layout": 0})
+
     def plan(self) -> list[Routing]:
         """The routes that should change."""
         return self.leader.plan(self.now_us(), us(self.settings.tuning.renting.settle_s), self.wall_us())
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -70,8 +70,9 @@
         )  # fmt: skip
         self.users.home = settings.home
         self.workers = Workers(
-            client, self.view, self.owners, self.node, settings.parts, now_us, wall_us, self.dirty.set
-        )
+            client, self.view, self.owners, self.node, settings.parts, settings.zones, now_us, wall_us,
+            self.dirty.set,
+        )  # fmt: skip
         self.mesh = Mesh(client, [o.peer_addr for o in settings.platform.others])
         self.watch = Watch(settings, self.store, self.cloud, self.workers, self.mesh, self.view,
                            self.owners, now_us)
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -11,7 +11,7 @@
 from ..core.model import MachineType
 from ..core.owner import Owner
 from ..core.reach import LACKING, STATE, WOKEN
-from ..core.records import HolderRec
+from ..core.records import VERSION, HolderRec
 from ..core.view import View
 from ..links.budget import URGENT
 from ..links.clocks import now_us
@@ -23,6 +23,9 @@
 
 log = logging.getLogger("pearstep")
 
+# How much longer a node of another zone leaves a part alone.
+FAR_US = 3_000_000
+
 
 class Holding:
     """The parts and the lead while they are ours; ``owners`` is shared with those who act on them."""
@@ -180,15 +183,26 @@
             # The owner of the least loaded live node would be fairest; the first to see it will do. A node
             # that gives a part up lives: nothing is waited for then.
             patience = 0 if part in self.view.parts else us(self.settings.tuning.leading.takeover_s)
+            patience += self._far(part)
             if part != home and now_us() - since > patience + 300_000 * ((home - part) % self.settings.parts):
                 await self._claim(f"part/{part}")
 
+    def _far(self, part: int) -> int:
+        """How much longer a node waits for a part of another zone, microseconds: while a node of that zone
+        holds its own part, it is the one to take its neighbour's."""
+        zones = self.settings.zones
+        if not zones or zones[part] == zones[self.settings.home]:
+            return 0
+        alive = {holder.node for holder in self.view.parts.values()}
+        there = (node for node, zone in zip(self.settings.nodes, zones, strict=True) if zone == zones[part])
+        return FAR_US if any(node in alive for node in there) else 0
+
     async def _claim(self, key: str) -> None:
         if self.lease is None:
             return
         lease = self.lease
         outcome = await self.store.txn(
-            {key: self.view.stamp(key)}, {key: (HolderRec(self.node), lease)}, urgency=0
+            {key: self.view.stamp(key)}, {key: (HolderRec(self.node, VERSION), lease)}, urgency=0
         )
         if outcome.state == NO_LEASE:
             self._lost_lease()
--- a/pearstep/node/leading.py
+++ b/pearstep/node/leading.py
@@ -45,6 +45,7 @@
         if chief is None or self.store.refused_since is not None or not self.holding.awake():
             await asyncio.sleep(0.1)
             return
+        await chief.settle_layout()
         if self._extension is not None:
             await self._extension.planning(chief)
         begun = now_us()
--- a/pearstep/node/settings.py
+++ b/pearstep/node/settings.py
@@ -158,6 +158,8 @@
     step_ms: Positive = 50.0
     follow_ms: Positive = 120.0
     refresh_ms: Positive = 150.0
+    # Machines are dealt to the parts of their own zone; counts only when a cluster is begun.
+    parts_within_zones: bool = True
     # How many times as long as it took a pass rests, and the longest rest: processor time for the rest.
     pace: Positive = 39.0
     longest_rest_ms: Positive = 1000.0
@@ -198,6 +200,10 @@
         self.nodes = sorted({platform.node, *(o.node for o in platform.others)})
         self.parts = len(self.nodes)
         self.home = self.nodes.index(platform.node)
+        # Each part's own zone: that of the node whose home it is. In one zone there is nothing to tell apart.
+        where = {platform.node: platform.location, **{o.node: o.location for o in platform.others}}
+        zones = [where[node] for node in self.nodes]
+        self.zones = zones if len(set(zones)) > 1 and all(zones) else []
         self.teams = {t.name: Team(t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max) for t in params.teams}
         # Within which times of its submission a class is to start, and the classes for which that is soon.
         waits = [(o.cls, int(o.within_s * US)) for o in params.objectives if o.kind == "wait"]
@@ -294,4 +300,5 @@
         urgent=s.urgent,
         aims=s.aims,
         spare_us=us(tuning.backfilling.spare_s),
+        zoned=bool(s.zones),
     )
--- a/pearstep/node/workers.py
+++ b/pearstep/node/workers.py
@@ -13,7 +13,8 @@
 from ..core.model import US
 from ..core.orders import Actions, Order, ReportSeen, TaskSeen
 from ..core.owner import Owner
-from ..core.parts import part_of
+from ..core.parts import Layout
+from ..core.records import LayoutRec
 from ..core.view import View
 from ..links.http import Answer, Client
 from ..wire import node as wire
@@ -37,7 +38,7 @@
     """Takes reports to the owner of the machine's part, and its commands to the machine."""
 
     def __init__(
-        self, client: Client, view: View, owners: dict[int, Owner], node: str, parts: int,
+        self, client: Client, view: View, owners: dict[int, Owner], node: str, parts: int, zones: list[str],
         now_us: Callable[[], int], wall_us: Callable[[], int], kick: Callable[[], None],
     ) -> None:  # fmt: skip
         self.client = client
@@ -45,6 +46,8 @@
         self.owners = owners
         self.node = node
         self.parts = parts
+        self.zones = zones
+        self._layout: tuple[LayoutRec | None, Layout] = (None, Layout(parts))
         self.now_us = now_us
         self.wall_us = wall_us
         self.kick = kick
@@ -62,11 +65,12 @@
         except wire.Malformed as err:
             log.error("malformed report: %s", err)
             return 400, wire.error_answer(str(err)), {}
-        part = part_of(report.machine, self.parts)
-        owner = self.owners.get(part)
-        if not self.awake():
+        layout = self.layout()
+        if layout is None or not self.awake():
             # What was read before we stood still may be over: the worker asks another node meanwhile.
             return 503, wire.error_answer("not certain what is owned here"), {"Retry-After": "1"}
+        part = layout.part_of(report.machine, report.zone)
+        owner = self.owners.get(part)
         if owner is None or report.token > owner.token:
             self.knocks[report.machine] = (part, self.now_us())
             holder = self.view.parts.get(part)
@@ -87,6 +91,15 @@
             self.kick()
         return 200, wire.orders_body(owner.token, orders), {}
 
+    def layout(self) -> Layout | None:
+        """How machines are dealt to parts; None as long as it may still become one or the other."""
+        rec = self.view.layout
+        if rec is None and self.zones and not self.view.machines:
+            return None
+        if rec is not self._layout[0]:
+            self._layout = (rec, Layout(self.parts, rec.zones if rec is not None else ()))
+        return self._layout[1]
+
     def knocked(self, within_us: int) -> dict[int, int]:
         """How many machines of each part have come to the wrong door of late."""
         now = self.now_us()
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,173 @@
+"""How machines are dealt to parts: within zones where a cluster was begun so, and never in two ways at
+once."""
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearstep.core.parts import Layout, may_settle, part_of
+from pearstep.core.records import VERSION, HolderRec, LayoutRec, MachineRec
+from pearstep.core.view import View
+from pearstep.node.chief import Chief
+from pearstep.node.holding import FAR_US, Holding
+from pearstep.node.workers import Workers
+
+ZONES = ["north", "south", "north", "south", "north"]
+
+
+@given(
+    st.lists(st.sampled_from("abc"), min_size=1, max_size=9), st.integers(0, 10**6), st.sampled_from("abcd")
+)  # fmt: skip
+def test_a_machine_belongs_to_one_part_of_its_zone_if_there_is_one(zones, number, zone):
+    name = f"i-{number:06d}"
+    part = Layout(len(zones), zones).part_of(name, zone)
+    assert 0 <= part < len(zones)
+    assert zones[part] == zone or zone not in zones
+    if zone not in zones or len(set(zones)) == 1:
+        assert part == part_of(name, len(zones)) == Layout(len(zones)).part_of(name, zone)
+
+
+def test_parts_of_a_zone_are_about_as_large():
+    layout = Layout(5, ZONES)
+    north = Counter(layout.part_of(f"i-{n:06d}", "north") for n in range(3000))
+    assert set(north) == {0, 2, 4} and max(north.values()) < 1.2 * min(north.values())
+
+
+def test_the_layout_is_settled_once_nobody_could_know_another():
+    assert may_settle(0, [1, 1, 1], 1) is True
+    assert may_settle(0, [1, 0, 1], 1) is False  # an earlier release deals over all
+    assert may_settle(0, [1, None, 1], 1) is None  # whoever takes that part may be one
+    assert may_settle(3, [1, 1, 1], 1) is False  # machines are dealt already
+    assert may_settle(3, [None], 1) is False
+
+
+class Cluster:
+    """Nodes of this release and of an earlier one on the same records; each sees them with its own delay."""
+
+    def __init__(self, old):
+        self.log = []
+        self.old = old
+        self.views = [View() for _ in ZONES]
+        self.seen = [0] * len(ZONES)
+        self.workers = [
+            Workers(None, view, {}, f"n{i}", len(ZONES), ZONES, lambda: 0, lambda: 0, lambda: None)
+            for i, view in enumerate(self.views)
+        ]
+
+    def put(self, key, rec):
+        self.log.append((key, msgspec.json.encode(rec)))
+
+    def follow(self, node, count):
+        for stamp in range(self.seen[node] + 1, min(self.seen[node] + count, len(self.log)) + 1):
+            key, raw = self.log[stamp - 1]
+            self.views[node].put(key, stamp, raw, 0)
+            self.seen[node] = stamp
+
+    def report(self, node, machine, zone):
+        """Where a node would take the machine in, if the part is its own."""
+        layout = Layout(len(ZONES)) if node in self.old else self.workers[node].layout()
+        if layout is None:
+            return
+        part = layout.part_of(machine, zone)
+        if part == node:
+            self.put(f"m/{part}/{machine}", MachineRec("small", zone, False, "x"))
+
+    def settle(self, node):
+        """A pass of the leader, if it is of this release. It has read everything up to its own claim."""
+        self.follow(node, len(self.log))
+        view = self.views[node]
+        if view.layout is not None:
+            return
+        versions = [h.version if (h := view.parts.get(p)) else None for p in range(len(ZONES))]
+        within = may_settle(len(view.machines), versions, VERSION)
+        if within is not None and not any(key == "layout" for key, _ in self.log):
+            self.put("layout", LayoutRec(ZONES if within else []))
+
+
+@given(
+    st.sets(st.integers(0, 4), max_size=2),
+    st.lists(
+        st.tuples(st.sampled_from(["claim", "follow", "report", "settle"]), st.integers(0, 4),
+                  st.integers(0, 30)),
+        max_size=120,
+    ),
+)  # fmt: skip
+def test_no_machine_is_in_two_parts_whatever_each_node_knows(old, events):
+    cluster = Cluster(old)
+    leader = min(set(range(5)) - old)
+    claimed = set()
+    for what, node, number in events:
+        if what == "claim" and node not in claimed:
+            claimed.add(node)
+            cluster.put(f"part/{node}", HolderRec(f"n{node}", 0 if node in old else VERSION))
+        elif what == "follow":
+            cluster.follow(node, 3)
+        elif what == "report" and node in claimed:
+            cluster.report(node, f"i-{number}", "north" if number % 2 else "south")
+        elif what == "settle" and leader in claimed:
+            cluster.settle(leader)
+    parts = {}
+    for key, _ in cluster.log:
+        if key.startswith("m/"):
+            _, part, name = key.split("/")
+            parts.setdefault(name, set()).add(part)
+    assert all(len(found) == 1 for found in parts.values())
+
+
+def test_workers_are_not_taken_in_before_the_layout_is_known():
+    view = View()
+    workers = Workers(None, view, {}, "n0", 5, ZONES, lambda: 0, lambda: 0, lambda: None)
+    assert workers.layout() is None
+    # A cluster that was begun before there were layouts goes on as it was.
+    view.put("m/3/i-1", 1, msgspec.json.encode(MachineRec("small", "north", False, "x")), 0)
+    assert workers.layout().zones == ()
+    view.put("layout", 2, msgspec.json.encode(LayoutRec(ZONES)), 0)
+    assert workers.layout().zones == tuple(ZONES)
+    # In one zone there is nothing to wait for.
+    assert Workers(None, View(), {}, "n0", 3, [], lambda: 0, lambda: 0, lambda: None).layout().zones == ()
+
+
+def test_the_leader_writes_it_once_and_only_when_certain():
+    view, written = View(), []
+
+    async def commit(puts, conditions):
+        written.append((puts, conditions))
+
+    leading = SimpleNamespace(parts_within_zones=True)
+    chief = Chief.__new__(Chief)
+    chief.view = view
+    chief.settings = SimpleNamespace(zones=ZONES, parts=5, tuning=SimpleNamespace(leading=leading))
+    chief.commit = commit
+
+    def settle():
+        asyncio.run(chief.settle_layout())
+        return written[-1:] and written.pop()
+
+    for part in range(4):
+        view.put(f"part/{part}", part + 1, msgspec.json.encode(HolderRec(f"n{part}", VERSION)), 0)
+    assert not settle()
+    view.put("part/4", 9, msgspec.json.encode(HolderRec("", VERSION)), 0)
+    assert not settle()  # given up: whoever takes it is not known
+    view.put("part/4", 10, msgspec.json.encode(HolderRec("n4", VERSION)), 0)
+    assert settle() == ({"layout": LayoutRec(ZONES)}, {"layout": 0})
+    leading.parts_within_zones = False
+    assert settle() == ({"layout": LayoutRec([])}, {"layout": 0})
+    view.put("layout", 11, msgspec.json.encode(LayoutRec(ZONES)), 0)
+    assert not settle()
+
+
+def test_a_part_is_left_to_a_node_of_its_zone_as_long_as_there_is_one():
+    view = View()
+    holding = Holding.__new__(Holding)
+    holding.view = view
+    holding.settings = SimpleNamespace(zones=ZONES, nodes=[f"n{i}" for i in range(5)], home=0)
+    view.put("part/1", 1, msgspec.json.encode(HolderRec("n1", VERSION)), 0)
+    assert holding._far(3) == FAR_US and holding._far(2) == 0
+    view.put("part/1", 2, msgspec.json.encode(HolderRec("n4", VERSION)), 0)
+    assert holding._far(3) == 0  # nobody of the south is left
+    holding.settings.zones = []
+    assert holding._far(3) == 0
