A job that is complete when all controllers die is ended by the next owners

Cause: an owner looks for complete jobs when a record of them changes.

Change: whoever takes a part looks for such jobs among those that are open. The lowest part ends it, each other a second later, as before.

Seen: a test that fails without it.

--- a/pearstep/core/part.py
+++ b/pearstep/core/part.py
@@ -8,6 +8,7 @@
 from .backfill import Backfill
 from .delay import AdaptiveDelay
 from .gang import Gang
+from .job import Job
 from .machine import Machine
 from .model import US, MachineType, Spec
 from .orders import IMMEDIATE, Actions, OwnerConfig
@@ -55,6 +56,18 @@
             for part, chunk in job.places:
                 if part == self.part:
                     self._reload(self._rec(job.spec, chunk), now_us, wall_us)
+        # Seen: the last task of a job over two parts was recorded, all controllers died, and the job, complete
+        # by its records, was never done: an owner only looked when a record changed.
+        for job in self.view.open.values():
+            self._look_for_end(job, now_us)
+
+    def _look_for_end(self, job: Job, now_us: int) -> None:
+        """End a job that is complete by its records: the lowest of its parts does, and if that is gone, each
+        other a second later."""
+        ref = job.spec.ref
+        if job.state == QUEUED and job.complete and ref not in self.finish:
+            lowest = min((part for part, _ in job.places), default=self.part)
+            self.finish[ref] = now_us if lowest == self.part else now_us + US
 
     def _rec(self, spec: Spec, chunk: int) -> Placements:
         rec = self.recs.get((spec.ref, chunk))
@@ -114,9 +127,7 @@
             # Only this owner writes here: a newer stamp is a transaction of ours whose answer was lost.
             if placed.stamp > rec.stamp and not rec.inflight:
                 self._reload(rec, now_us, wall_us)
-        if job.state == QUEUED and job.complete and ref not in self.finish:
-            lowest = min((part for part, _ in job.places), default=self.part)
-            self.finish[ref] = now_us if lowest == self.part else now_us + US
+        self._look_for_end(job, now_us)
 
     def stood_still(self, gap_us: int, now_us: int) -> None:
         """The process stood still: nothing could be heard meanwhile, so that time is not silence. What our
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -2,7 +2,7 @@
 
 from pearstep.core.model import US
 from pearstep.core.orders import Actions, ReportSeen
-from pearstep.core.records import CANCELLED, DrainRec, JobRec, RouteRec
+from pearstep.core.records import CANCELLED, DONE, DrainRec, JobRec, PlaceRec, RouteRec
 
 from .world import World, spec
 
@@ -250,6 +250,22 @@
     assert orders == [("start", "req-1/1", 2, None)]
 
 
+def test_a_job_that_was_complete_when_its_owners_died_is_ended_by_the_next():
+    for lowest in (True, False):
+        world = World()
+        world.put("j/req-1", JobRec(spec(tasks=3), world.now))
+        world.put("p/1/req-1/0" if lowest else "p/0/req-1/0", PlaceRec({}, "4", 1))
+        world.put("p/0/req-1/0" if lowest else "p/1/req-1/0", PlaceRec({}, "3", 2))
+        # Both owners die before either has heard of the other's last record. Whoever takes a part looks.
+        world.owner.finish.clear()
+        world.take_over()
+        world.run()
+        if not lowest:
+            world.later(2)
+            world.run()
+        assert world.view.jobs["req-1"].state == DONE
+
+
 def test_machines_of_a_zone_that_fall_silent_together_are_not_deleted():
     w = World()
     for n in range(4):
