Published sets: a job's files are whole, of one attempt each, and built from known inputs

Need: a mosaic half-built from an old orthophoto must never be read as current after machines restart together; a run is finished or plainly unfinished.

Change: `artefacts get REF` gives a job's published set, or says with exit code 1 that it is unfinished. A set exists once the job is done, names for each task the attempt that gave its answer, is fixed by a digest, and which set stands is one transaction in the state service. `run.inputs` names other jobs; `submit` pins the digests of their sets, workers put exactly these files there, and the set names what it was built from. A worker names the files of an end even if there are none, so that a reader knows what is on its way.

--- a/pearstep/archive/messages.py
+++ b/pearstep/archive/messages.py
@@ -21,6 +21,7 @@
 BUCKET = "/v1/bucket"
 RAW = "/v1/raw"
 BOARD = "/v1/board"
+SETS = "/v1/sets"
 
 MOST_BODY = 4 * 1024 * 1024
 MOST_NAME = 1024
--- a/pearstep/archive/reading.py
+++ b/pearstep/archive/reading.py
@@ -37,6 +37,7 @@
     version: int
     artefacts: list[dict[str, str | int]]
     node: str = ""
+    published: bool = False  # whether its files are named, be it none
 
     @property
     def key(self) -> Key:
@@ -69,6 +70,7 @@
         r.version,
         files,
         node,
+        manifest is not None,
     )
 
 
--- a/pearstep/archive/service.py
+++ b/pearstep/archive/service.py
@@ -19,7 +19,7 @@
 from ..links.budget import Budget
 from ..links.clocks import now_us, wall_us
 from ..links.http import Answer, Client, Server
-from ..links.store import Store
+from ..links.store import COMMITTED, CONFLICT, Store
 from . import messages as msg
 from .board import Board, Post
 from .copies import Copies
@@ -41,7 +41,7 @@
 MB = 1024 * 1024
 # Users' jobs, those lent by a peer, and images.
 REF = re.compile(r"^(req-[0-9]{1,20}|lent-[a-z0-9-]{1,120})$")
-NAMED = re.compile(r"^(req-[0-9]{1,20}|lent-[a-z0-9-]{1,120}|img-[a-z0-9][a-z0-9._-]{0,60})$")
+NAMED = re.compile(r"^((req|set)-[0-9]{1,20}|lent-[a-z0-9-]{1,120}|img-[a-z0-9][a-z0-9._-]{0,60})$")
 MOST_JOB = 64 * 1024
 _key = msgspec.msgpack.Decoder(Key)
 
@@ -191,6 +191,8 @@
                 return await route(request)
             if path.startswith(msg.JOBS + "/"):
                 return await self._job(request, path[len(msg.JOBS) + 1 :])
+            if path.startswith(msg.SETS + "/"):
+                return await self._set(request, path[len(msg.SETS) + 1 :])
             if path.startswith(msg.BLOB + "/") and request.method == "GET":
                 return await self._blob(request, path[len(msg.BLOB) + 1 :])
             if path.startswith(msg.BUCKET + "/") and request.method == "GET":
@@ -357,6 +359,40 @@
                 return refusal(503, "not durable on enough nodes", RETRY_S)
         return status, b"{}", {}
 
+    async def _set(self, request: HTTPServerRequest, ref: str) -> Answer:
+        """Which set of a job's files stands. The first that is proposed does, for ever: settled by a
+        transaction of the state service, whichever node is asked; a node that stands alone settles it itself.
+        Each node remembers what it has learnt."""
+        if not REF.match(ref):
+            return refusal(400, "a job's id is req- and up to 20 digits")
+        name, key = f"set of {ref}", f"set/{ref}"
+        known = self.index.job(name)
+        if known is None and self.joining is not None:
+            listing = await self.joining.store.list_all(key)
+            if listing is None:
+                return refusal(503, "the state service does not answer", RETRY_S)
+            known = next((bytes(p.value) for p in listing[0] if p.key == key), None)
+            if known is not None:
+                await self.writer.put_job(name, known)
+        if request.method == "GET":
+            return (200, known, {}) if known is not None else refusal(404, "this job has no published set")
+        if request.method != "PUT":
+            return refusal(405, "method not allowed")
+        wish = msgspec.json.decode(request.body, type=_Standing)
+        if not re.fullmatch(r"[0-9a-f]{64}", wish.digest):
+            return refusal(422, "a digest is SHA-256 in hexadecimal")
+        body = msgspec.json.encode(wish)
+        if known is not None:
+            return (200, known, {}) if known == body else refusal(409, "another set of this job stands")
+        if self.joining is not None:
+            outcome = await self.joining.store.txn({key: 0}, {key: (wish, None)}, [])
+            if outcome.state == CONFLICT:
+                return refusal(409, "another set of this job stands")
+            if outcome.state != COMMITTED:
+                return refusal(503, "the state service does not answer", RETRY_S)
+        status = await self.writer.put_job(name, body)
+        return (status, body, {}) if status != 409 else refusal(409, "another set of this job stands")
+
     async def _members(self, request: HTTPServerRequest) -> Answer:
         layout = self.membership.layout
         return 200, msgspec.json.encode({
@@ -388,6 +424,10 @@
             raise Refused(422, "a machine's name has no spaces and no slashes")
 
 
+class _Standing(msgspec.Struct):
+    digest: str
+
+
 def _arg(request: HTTPServerRequest, name: str) -> str:
     values = request.arguments.get(name)
     return values[0].decode() if values else ""
--- a/pearstep/cli/jobs.py
+++ b/pearstep/cli/jobs.py
@@ -6,10 +6,13 @@
 from pathlib import Path
 
 import click
+import msgspec
 
-from ..jobs.description import DescriptionError, parse
-from .common import NO, Clients, command, output, show
-from .logs import follow_job
+from ..archive.sets import Unsettled, digest_of
+from ..client.sets import Sets
+from ..jobs.description import Description, DescriptionError, parse
+from .common import NO, Clients, command, fail, output, show
+from .logs import follow_job, publish
 from .peers import describe, loan_of
 
 FINAL = ("done", "cancelled")
@@ -24,6 +27,41 @@
         await asyncio.sleep(0.5)
 
 
+async def pin(clients: Clients, job: Description) -> Description:
+    """The job with the digests of what it is built from. Its inputs must be finished: what starts later than
+    others of its tasks must see the same files."""
+    pinned = []
+    for one in job.run.inputs:
+        found = digest_of(await publish(clients, one.ref))
+        if one.digest not in ("", found):
+            fail(f"the published files of {one.ref} are {found}, not {one.digest}", NO)
+        pinned.append(msgspec.structs.replace(one, digest=found))
+    if not pinned:
+        return job
+    return msgspec.structs.replace(job, run=msgspec.structs.replace(job.run, inputs=pinned))
+
+
+async def inputs_done(clients: Clients, job: Description) -> None:
+    """Wait until everything that a job is built from is over."""
+    for one in job.run.inputs:
+        state = await wait(clients, one.ref)
+        if state != "done":
+            fail(f"{one.ref}, which this job is built from, was {state}", NO)
+
+
+async def settled(clients: Clients, job: Description) -> None:
+    """Wait until the files of its inputs are all in the archive."""
+    sets = Sets(clients.archive)
+    for one in job.run.inputs:
+        while True:
+            try:
+                await sets.publish(one.ref)
+                break
+            except Unsettled as err:
+                click.echo(f"waiting for the files of {one.ref}: {err}", err=True)
+                await asyncio.sleep(1.0)
+
+
 def read(file: str) -> str:
     """A description's text."""
     try:
@@ -34,7 +72,7 @@
 
 async def submit_and_follow(clients: Clients, file: str) -> int:
     """Submit a job and show all its tasks' output until it is over."""
-    job = parse(read(file), Path(file).parent, file)
+    job = await pin(clients, parse(read(file), Path(file).parent, file))
     ref = await clients.jobs.submit(job, clients.archive)
     click.echo(f"submitted {ref}", err=True)
     waiting = asyncio.ensure_future(wait(clients, ref))
@@ -50,15 +88,22 @@
     "--wait", "waits", is_flag=True, help="Return once the job is over; exit 1 if it was cancelled."
 )
 @click.option("--follow", is_flag=True, help="Show its output until it is over.")
+@click.option("--after", is_flag=True, help="Wait until the jobs that it is built from are done.")
 @click.option("--ref", help="The job's id (req-...); the same id submits once, however often it is repeated.")
 @output
 @command
-async def submit(root: Path, file: str, waits: bool, follow: bool, ref: str | None, output: str) -> int:
+async def submit(
+    root: Path, file: str, waits: bool, follow: bool, after: bool, ref: str | None, output: str
+) -> int:
     """Submit the job that FILE describes (YAML, see docs/jobs.md)."""
     clients = Clients(root)
+    job = parse(read(file), Path(file).parent, file)
+    if after:
+        await inputs_done(clients, job)
+        await settled(clients, job)
     if follow:
         return await submit_and_follow(clients, file)
-    job = parse(read(file), Path(file).parent, file)
+    job = await pin(clients, job)
     ref = await clients.jobs.submit(job, clients.archive, ref)
     state = await wait(clients, ref) if waits else "queued"
     show({"ref": ref, "state": state}, output, ref if not waits else f"{ref} {state}")
--- a/pearstep/cli/logs.py
+++ b/pearstep/cli/logs.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -13,7 +11,9 @@
 
 from ..archive.messages import bad_name
 from ..archive.records import Key
+from ..archive.sets import PublishedSet, Unsettled, build, digest_of, standing
 from ..client.archive import key_of
+from ..client.sets import Sets
 from .common import AWAY, NO, Clients, command, fail, output, show
 
 PAUSE_S = 0.2
@@ -133,50 +133,92 @@
 @output
 @command
 async def list_(root: Path, ref: str, task: int | None, output: str) -> int:
-    """List the files of the job REF by task and attempt."""
-    attempts = await known(Clients(root), ref, task)
-    rows = [{"task": a["task"], "attempt": a["attempt"], **f} for a in attempts for f in a["artefacts"]]
-    show(rows, output, "\n".join(f"{r['task']}/{r['attempt']}\t{r['size']}\t{r['name']}" for r in rows))
+    """List the files of the job REF by task and attempt, and what they are: published (the job's answer),
+    superseded (another attempt's), or unfinished (the job has no published files yet)."""
+    clients = Clients(root)
+    attempts = await known(clients, ref, task)
+    one = await Sets(clients.archive).published(ref)
+    rows = [
+        {"task": a["task"], "attempt": a["attempt"], "standing": standing(a, one), **f}
+        for a in attempts for f in a["artefacts"]
+    ]  # fmt: skip
+    lines = [f"{r['task']}/{r['attempt']}\t{r['standing']}\t{r['size']}\t{r['name']}" for r in rows]
+    show(rows, output, "\n".join(lines))
+    return 0
+
+
+async def publish(clients: Clients, ref: str) -> PublishedSet:
+    """The published files of a job; ends the command with 1 if there are none yet."""
+    sets = Sets(clients.archive)
+    one = await sets.published(ref)
+    if one is not None:
+        return one
+    status = await clients.jobs.status(ref)
+    if status is None:
+        fail(f"{ref}: no such job", NO)
+    if status.state != "done":
+        fail(f"{ref} is {status.state}: unfinished, it has no published files; --attempt shows others", NO)
+    try:
+        return await sets.publish(ref)
+    except Unsettled as err:
+        fail(f"{ref} is done, its files are not settled yet: {err}", NO)
+
+
+@artefacts.command("show")
+@click.argument("ref")
+@output
+@command
+async def show_set(root: Path, ref: str, output: str) -> int:
+    """Tell what the published files of the job REF are: their digest as a whole, and what they were built
+    from."""
+    one = await publish(Clients(root), ref)
+    digest = digest_of(one)
+    facts = {"ref": ref, "digest": digest, "files": len(one.files), "bytes": sum(m.size for m in one.files),
+             "inputs": [{"ref": i.ref, "digest": i.digest} for i in one.inputs]}  # fmt: skip
+    lines = [f"{ref} {digest}, {len(one.files)} files, {facts['bytes']} bytes"]
+    lines += [f"  built from {i.ref} {i.digest}" for i in one.inputs]
+    show(facts, output, "\n".join(lines))
     return 0
 
 
 @artefacts.command()
 @click.argument("ref")
 @click.argument("name", required=False)
-@click.option("--task", type=int, default=0, show_default=True)
-@click.option("--attempt", type=int, help="The attempt; the task's last that left files without it.")
+@click.option("--task", type=int, help="Of this task only.")
+@click.option("--attempt", type=int, help="What this attempt left, be it the job's answer or not.")
 @click.option("--to", "target", default=".", metavar="DIR", show_default=True, help="Where to put them.")
 @output
 @command
 async def get(
-    root: Path, ref: str, name: str | None, task: int, attempt: int | None, target: str, output: str
+    root: Path, ref: str, name: str | None, task: int | None, attempt: int | None, target: str, output: str
 ) -> int:
-    """Get the file NAME of a task, or all of its files, verified by their digests."""
+    """Get the published files of the job REF, or NAME alone, verified by their digests.
+
+    They are there once the job is done, all from the attempts that gave its answer; before that the command
+    ends with 1. Files of a job with several tasks are below the task's number.
+    """
     clients = Clients(root)
-    attempts = [a for a in await known(clients, ref, task) if a["artefacts"]]
-    chosen = pick(attempts, task, attempt)
-    files = [f for f in chosen["artefacts"] if name in (None, f["name"])] if chosen else []
-    if chosen is None or not files:
-        fail(f"{ref}: task {task} has no such file; see `pearstep artefacts list {ref}`", NO)
-    total = sum(f["size"] for f in files)
+    sets = Sets(clients.archive)
+    if attempt is None:
+        one = await publish(clients, ref)
+    else:
+        some = [a for a in await known(clients, ref, task or 0) if a["artefacts"]]
+        chosen = pick(some, task or 0, attempt)
+        if chosen is None:
+            fail(f"{ref}: task {task or 0} left no files in attempt {attempt}", NO)
+        one = build(ref, {chosen["task"]: chosen})
+        stands = await sets.published(ref)
+        click.echo(f"[pearstep: these files are {standing(chosen, stands)}]", err=True)
+    wanted = [m for m in one.files if name in (None, m.name, m.source) and task in (None, m.task)]
+    bad = next((m.name for m in wanted if bad_name(m.name)), None)
+    if bad is not None:
+        fail(f"{bad!r}: {bad_name(bad)}", NO)
+    if not wanted and (name is not None or task is not None):
+        fail(f"{ref} has no such file; see `pearstep artefacts list {ref}`", NO)
     quiet = output == "json" or not sys.stderr.isatty()
+    total = sum(m.size for m in wanted)
     with click.progressbar(length=total, label="artefacts", file=sys.stderr, hidden=quiet) as bar:
-        for file in files:
-            if bad_name(file["name"]):
-                fail(f"{file['name']!r}: {bad_name(file['name'])}", NO)
-            path = Path(target) / file["name"]
-            path.parent.mkdir(parents=True, exist_ok=True)
-            beside = path.with_name(path.name + ".part")
-            sha = hashlib.sha256()
-            with open(beside, "wb") as out:
-                async for part in clients.archive.blob(key_of(chosen), file["sha256"], file["size"]):
-                    sha.update(part)
-                    out.write(part)
-                    bar.update(len(part))
-            if sha.hexdigest() != file["sha256"]:
-                os.unlink(beside)
-                fail(f"{file['name']}: the bytes that came do not have its digest; try again", AWAY)
-            os.replace(beside, path)
-    rows = [{"path": str(Path(target) / f["name"]), "size": f["size"], "sha256": f["sha256"]} for f in files]
-    show(rows, output, "\n".join(r["path"] for r in rows))
+        paths = await sets.fetch(one, Path(target), {m.name for m in wanted}, bar.update)
+    rows = [{"path": str(p), "size": m.size, "sha256": m.sha256} for p, m in zip(paths, wanted, strict=True)]
+    show(rows, output, "\n".join(str(r["path"]) for r in rows))
     return 0
--- /dev/null
+++ b/pearstep/client/sets.py
@@ -0,0 +1,141 @@
+"""Published sets, for whoever reads a job's files: made by the first who asks once the job is done, the same
+for everybody from then on. Which one stands is settled in the state service (``archive.service``)."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from ..archive.messages import SETS
+from ..archive.records import Append, Key, Seal
+from ..archive.sets import SET_FILE, Input, PublishedSet, Unsettled, answers, build, decode, digest_of, encode
+from ..jobs.description import Description, DescriptionError
+from ..jobs.description import decode as decode_job
+from ..links.clocks import wall_us
+from .archive import ArchiveAway, ArchiveClient, reason
+
+
+class Standing(msgspec.Struct):
+    """Which set of a job stands."""
+
+    digest: str
+
+
+def set_job(ref: str) -> str:
+    """The name under which a job's sets are kept."""
+    return f"set-{ref.removeprefix('req-')}"
+
+
+def _key(ref: str, digest: str) -> Key:
+    return Key(set_job(ref), 0, 1, f"set-{digest[:16]}", 1)
+
+
+class Sets:
+    """Reads sets, and publishes those that are due."""
+
+    def __init__(self, archive: ArchiveClient) -> None:
+        self.archive = archive
+
+    async def standing(self, ref: str) -> str | None:
+        """The digest of a job's set; None if there is none. Raises ArchiveAway."""
+        status, data = await self.archive.ask("GET", f"{SETS}/{ref}")
+        if status == 404:
+            return None
+        if status != 200:
+            raise ArchiveAway(f"the archive answers {status}: {reason(data)}")
+        return msgspec.json.decode(data, type=Standing).digest
+
+    async def read(self, ref: str, digest: str) -> PublishedSet:
+        """A set by its digest. Raises ArchiveAway."""
+        found = await self.archive.attempts(set_job(ref)) or []
+        size = next((f["size"] for a in found for f in a["artefacts"] if f["sha256"] == digest), None)
+        if size is None:
+            raise ArchiveAway(f"the archive has no set {digest[:12]} of {ref}")
+        body = b""
+        async for part in self.archive.blob(_key(ref, digest), digest, size):
+            body += part
+        if hashlib.sha256(body).hexdigest() != digest:
+            raise ArchiveAway(f"set of {ref}: the bytes that came do not have its digest")
+        return decode(body)
+
+    async def published(self, ref: str) -> PublishedSet | None:
+        """The set that stands; None if there is none."""
+        digest = await self.standing(ref)
+        return None if digest is None else await self.read(ref, digest)
+
+    async def publish(self, ref: str) -> PublishedSet:
+        """The set of a job that is done, made now if nobody has made it. Raises Unsettled, ArchiveAway."""
+        one = await self.published(ref)
+        if one is not None:
+            return one
+        job = await self._description(ref)
+        attempts = await self.archive.attempts(ref) or []
+        chosen = answers(attempts, job.tasks, job.kind == "gang", bool(job.run.outputs), wall_us())
+        one = build(ref, chosen, [Input(i.ref, i.digest) for i in job.run.inputs])
+        digest = digest_of(one)
+        await self._keep(ref, digest, encode(one))
+        status, data = await self.archive.ask("PUT", f"{SETS}/{ref}", msgspec.json.encode(Standing(digest)))
+        if status not in (200, 201, 409):
+            raise ArchiveAway(f"the archive answers {status}: {reason(data)}")
+        # Another reader may have been first: what stands counts, not what was proposed.
+        stands = await self.published(ref)
+        if stands is None:
+            raise ArchiveAway(f"the set of {ref} could not be read back")
+        return stands
+
+    async def _description(self, ref: str) -> Description:
+        status, body = await self.archive.ask("GET", f"/v1/jobs/{ref}")
+        if status == 404:
+            raise Unsettled("no such job in the archive")
+        if status != 200:
+            raise ArchiveAway(f"the archive answers {status}: {reason(body)}")
+        try:
+            return decode_job(body)
+        except DescriptionError as err:
+            raise Unsettled(f"its description cannot be read: {err}") from None
+
+    async def _keep(self, ref: str, digest: str, body: bytes) -> None:
+        key, now = _key(ref, digest), wall_us()
+        owners = await self.archive.owners(key.job, key.task)
+        if not owners:
+            raise ArchiveAway("no archive node answers")
+        item = Append(key, 1, "", "set", now, [], Seal("done", 0, {}, now))
+        result = (await self.archive.append(owners[0], [item]))[0]
+        if result.status not in (200, 409):
+            raise ArchiveAway(f"the archive answers {result.status}: {result.why}")
+        with tempfile.TemporaryDirectory(prefix="pearstep-set-") as folder:
+            (Path(folder) / SET_FILE).write_bytes(body)
+            why = await self.archive.publish(key, "", Path(folder), [SET_FILE])
+        if why:
+            raise ArchiveAway(f"the set of {ref} was not taken: {why}")
+
+    async def fetch(
+        self, one: PublishedSet, target: Path, names: set[str] | None = None,
+        progress: Callable[[int], object] = lambda count: None,
+    ) -> list[Path]:  # fmt: skip
+        """Bring a set's files, verified, each whole or not at all. Raises ArchiveAway."""
+        out = []
+        for m in one.files:
+            if names is not None and m.name not in names:
+                continue
+            path = target / m.name
+            path.parent.mkdir(parents=True, exist_ok=True)
+            beside = path.with_name(path.name + ".part")
+            sha = hashlib.sha256()
+            key = Key(one.ref, m.task, m.attempt, m.machine, m.start)
+            with open(beside, "wb") as file:
+                async for part in self.archive.blob(key, m.sha256, m.size):
+                    sha.update(part)
+                    file.write(part)
+                    progress(len(part))
+            if sha.hexdigest() != m.sha256:
+                beside.unlink()
+                raise ArchiveAway(f"{m.name}: the bytes that came do not have its digest")
+            os.replace(beside, path)
+            out.append(path)
+        return out
--- a/pearstep/jobs/description.py
+++ b/pearstep/jobs/description.py
@@ -34,6 +34,15 @@
     code: Annotated[int, Meta(ge=1, le=255)] = 75
 
 
+class InputSet(msgspec.Struct, forbid_unknown_fields=True):
+    """The published files of a job that is done, put below the folder ``to``. ``digest`` says which set: it
+    is filled in when the job is submitted, so that all its tasks, whenever they start, see the same files."""
+
+    ref: Annotated[str, Meta(pattern=r"^req-[0-9]{1,20}$")]
+    to: Text
+    digest: Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
+
+
 class Run(msgspec.Struct, forbid_unknown_fields=True):
     """What a task runs. ``command`` is a program with its arguments, in which {job}, {task}, {tasks} and
     {attempt} are filled in. ``files`` are put beside it, by name; ``outputs`` are patterns of files, in the
@@ -44,6 +53,7 @@
     files: dict[str, str] = {}
     outputs: Annotated[list[Text], Meta(max_length=100)] = []
     save: Save | None = None
+    inputs: Annotated[list[InputSet], Meta(max_length=100)] = []
 
 
 class Image(msgspec.Struct, forbid_unknown_fields=True):
@@ -176,6 +186,11 @@
     for key in job.run.files:
         if not FileName.match(key) or key in (".", ".."):
             return "run.files", f"{key!r} is not a plain file name"
+    for one in job.run.inputs:
+        if one.to.startswith("/") or any(part in ("", ".", "..") for part in one.to.split("/")):
+            return "run.inputs", f"{one.to!r} is not a folder below the task's own"
+    if len({one.to for one in job.run.inputs}) < len(job.run.inputs):
+        return "run.inputs", "two inputs have the same folder"
     for pattern in job.run.outputs:
         if pattern.startswith("/") or ".." in pattern.split("/"):
             return "run.outputs", f"{pattern!r} leaves the task's folder"
--- a/pearstep/worker/agent.py
+++ b/pearstep/worker/agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import shutil
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -291,7 +292,11 @@
         return job, any(a["cause"] == "done" for a in known or ())
 
     async def _equip(self, run: Run, job: Description) -> None:
-        """The image, and the checkpoint that an earlier attempt saved."""
+        """The image, the input files, and the checkpoint that an earlier attempt saved."""
+        if job.run.inputs:
+            shutil.rmtree(run.inputs, ignore_errors=True) if run.inputs is not None else None
+            run.inputs = self.place.scratch()
+            await self.materials.inputs(job, run.inputs)
         if run.image is None:
             run.image = await self.materials.image(job.image.name)
         if job.run.save is None:
@@ -305,6 +310,9 @@
     def _release(self, run: Run) -> None:
         self.materials.release(run.image)
         run.image = None
+        if run.inputs is not None:
+            shutil.rmtree(run.inputs, ignore_errors=True)
+            run.inputs = None
 
     def _start(self, run: Run) -> None:
         spool = run.start(self.place, self.settings.machine)
@@ -451,7 +459,7 @@
     async def _bring_files(self, folder: Path, root: Path, key: Key, team: str, names: list[str]) -> None:
         """Until they are there, or the archive says that it will never take them."""
         pause_s = 0.2
-        while names:
+        while True:
             try:
                 why = await self.archive.publish(key, team, root, names)
                 if why:
--- a/pearstep/worker/folder.py
+++ b/pearstep/worker/folder.py
@@ -10,6 +10,7 @@
 import fcntl
 import os
 import shutil
+import tempfile
 import time
 from pathlib import Path
 from typing import TypeVar
@@ -54,6 +55,7 @@
         self.root = Path(root).resolve()
         self.runs = self.root / "runs"
         self.runs.mkdir(parents=True, exist_ok=True)
+        self.waiting = self.root / "waiting"
         self._lock = open(self.root / "lock", "w")
         deadline = time.monotonic() + 2.0
         while True:
@@ -66,6 +68,7 @@
                     raise AgentRuns(f"another agent runs on {self.root}; end it first") from None
                 time.sleep(0.05)
         self.state = self._read(self.root / "state.json", State) or State()
+        shutil.rmtree(self.waiting, ignore_errors=True)
 
     def close(self) -> None:
         """Let another agent have it."""
@@ -90,6 +93,11 @@
         (folder / "task").mkdir(parents=True)
         return self.state.start, folder
 
+    def scratch(self) -> Path:
+        """A folder for what is fetched before a start; all of them are removed when an agent begins."""
+        self.waiting.mkdir(exist_ok=True)
+        return Path(tempfile.mkdtemp(dir=self.waiting))
+
     def note(self, folder: Path, note: RunNote) -> None:
         """Write down a start."""
         self._write(folder / "run.json", note)
--- a/pearstep/worker/materials.py
+++ b/pearstep/worker/materials.py
@@ -15,6 +15,8 @@
 
 from ..archive.packs import BadPack, digest_of, size_of, unpack_folder
 from ..client.archive import ArchiveAway, ArchiveClient, key_of
+from ..client.sets import Sets
+from ..jobs.description import Description
 
 log = structlog.get_logger("pearstep.worker")
 
@@ -24,7 +26,7 @@
 
 
 class NoImage(Exception):
-    """The archive has no such image: waiting would not bring it."""
+    """The archive has no such image or input: waiting would not bring it."""
 
 
 def file_of(attempt: dict[str, Any], name: str) -> dict[str, Any] | None:
@@ -90,6 +92,7 @@
         self.images.mkdir(parents=True, exist_ok=True)
         self.kept = Kept(cache_bytes)
         self.fetched = 0
+        self.sets = Sets(archive)
         self._locks: dict[str, asyncio.Lock] = {}
         for path in sorted(self.images.iterdir(), key=lambda p: p.stat().st_mtime):
             if path.is_dir() and not path.name.endswith(".part"):
@@ -136,6 +139,15 @@
         if path is not None:
             self.kept.used[path.name] -= 1
 
+    async def inputs(self, job: Description, target: Path) -> None:
+        """Put exactly the files of the sets that a job names where its task will find them. Raises NoImage,
+        or ArchiveAway if they cannot be had now."""
+        for one in job.run.inputs:
+            if not one.digest:
+                raise NoImage(f"input {one.ref} has no digest: submit the job with `pearstep submit`")
+            found = await self.sets.read(one.ref, one.digest)
+            await self.sets.fetch(found, target / one.to)
+
     def folder(self, job: str, task: int) -> Path:
         """Where a task's checkpoint is while it runs here."""
         return self.checkpoints / job / str(task)
--- a/pearstep/worker/run.py
+++ b/pearstep/worker/run.py
@@ -57,6 +57,7 @@
         self.published = True
         self.held_until_us = 0
         self.image: Path | None = None
+        self.inputs: Path | None = None  # where its input files wait until it starts
         self.checkpoint: Path | None = None  # where it saves; None: it does not
         self.archived = False  # whether what it saves goes to the archive
 
@@ -80,6 +81,11 @@
         place.note(folder, note)
         self.folder = folder
         self.spool = Spooled(key, self.session, job.team, job.cls, note.opened_us)
+        if self.inputs is not None:
+            for path in sorted(self.inputs.iterdir()):
+                os.replace(path, folder / "task" / path.name)
+            self.inputs.rmdir()
+            self.inputs = None
         for name, text in job.run.files.items():
             (folder / "task" / name).write_text(text)
         env = {k: v for k, v in os.environ.items() if k in PASSED_ON}
