--- a/pearstep/core/part.py
+++ b/pearstep/core/part.py
@@ -56,8 +56,8 @@
             for part, chunk in job.places:
                 if part == self.part:
                     self._reload(self._rec(job.spec, chunk), now_us, wall_us)
-        # Seen: the last task of a job over two parts was recorded, all controllers died, and the job, complete
-        # by its records, was never done: an owner only looked when a record changed.
+        # Seen: the last task of a job over two parts was recorded, all controllers died, and the job,
+        # complete by its records, was never done: an owner only looked when a record changed.
         for job in self.view.open.values():
             self._look_for_end(job, now_us)
 
