Terms: work that may run twice comes home when its peer is silent, never too early

Need: a loan ended only by the guest's word or an operator's. For classes whose work may run twice a cut should cost a term, not for ever; and the guest must surely have stopped, also when its state service or controllers are gone.

Change: `leaving.terms_s` gives a class a term. The time until which a borrowed job may run is in its own record; owners stop it by their clocks, whether or not anything can be written. The guest counts from its reservation or from when it asked to renew, home from its grant or from the renewal it wrote down. Offers whose term leaves no time are refused. An older peer's envelopes are read, and ours by it.

--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -49,7 +49,7 @@
 
     __slots__ = (
         "spec", "state", "stamp", "at_us", "end_us", "routes", "places", "done", "seen_us", "run", "routed",
-        "skip", "lent",
+        "skip", "lent", "until_us",
     )  # fmt: skip
 
     def __init__(self, rec: JobRec, stamp: int, seen_us: int) -> None:
@@ -65,6 +65,7 @@
         # not to be routed; whoever keeps the loans says which (``federation``).
         self.skip = self.done = from_ranges(rec.skip) if rec.skip else 0
         self.lent = 0
+        self.until_us = rec.until_us
         # The tasks that have a placement anywhere, and those that some part may place.
         self.run = 0
         self.routed = 0
@@ -83,6 +84,11 @@
         JOB.move(self, rec.state)
         self.stamp = stamp
         self.end_us = rec.end_us
+        self.until_us = max(self.until_us, rec.until_us)
+
+    def over(self, wall_us: int) -> bool:
+        """Whether the time is past during which it may run here."""
+        return bool(self.until_us) and wall_us >= self.until_us
 
     @property
     def final(self) -> bool:
--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -57,7 +57,7 @@
         stray_names = {name for m in self.machines.values() for name, _ in m.strays}
         for job in self.view.open.values():
             route = job.routes.get(self.part)
-            if route is None or job.state != QUEUED or route.rec.wide:
+            if route is None or job.state != QUEUED or route.rec.wide or job.over(wall_us):
                 continue
             waiting = route.mask & ~job.done
             for rec in self._recs_of(job.spec):
@@ -150,7 +150,7 @@
         by_name = {s.name: s for s in seats}
         for job in self.view.open.values():
             route = job.routes.get(self.part)
-            if route is None or not route.rec.wide or job.state != QUEUED or job.done:
+            if route is None or not route.rec.wide or job.state != QUEUED or job.done or job.over(wall_us):
                 continue
             spec = job.spec
             recs = {task: self._rec(spec, task // CHUNK) for task in route.rec.wide}
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -27,7 +27,8 @@
 class JobRec(msgspec.Struct, omit_defaults=True):
     """An accepted job. ``part``: the part that it is routed to from the beginning, as long as no route
     says otherwise; such a job needs no change for its route. ``skip`` are tasks that are not this cluster's
-    to run: of a job that a peer has lent in part."""
+    to run: of a job that a peer has lent in part. From ``until_us`` (time of day; 0: never) on nothing of it
+    may run here: its owners stop it by their own clocks, also while nothing can be written."""
 
     spec: Spec
     at_us: int
@@ -35,6 +36,7 @@
     end_us: int = 0
     part: int | None = None
     skip: str = ""
+    until_us: int = 0
 
 
 class RouteRec(msgspec.Struct, omit_defaults=True):
--- a/pearstep/core/upkeep.py
+++ b/pearstep/core/upkeep.py
@@ -25,6 +25,9 @@
                     self.troubles.forget(rec.spec.ref)
                 continue
             if job.state != CANCELLED:
+                if job.over(wall_us):
+                    for a in list(rec.attempts.values()):
+                        self._stop_whole(a, self._grace_us(a.spec), now_us, actions)
                 continue
             late = wall_us - job.end_us > self.cfg.cancel_us // 2
             for a in rec.attempts.values():
--- a/pearstep/federation/books.py
+++ b/pearstep/federation/books.py
@@ -17,6 +17,7 @@
 from .handoff import GuestLoan, HomeLoan, Message
 from .overflow import Grant, Lend
 from .peers import Peer
+from .terms import Term
 
 FIRST_AGAIN_US, LONGEST_AGAIN_US = 1_000_000, 30_000_000
 MOST_IN_ENVELOPE = 200
@@ -40,6 +41,9 @@
     message: Message
     need: Need = Need()
     spec: Spec | None = None
+    # Of work with a term: how long it is, and, by the guest's time of day, when it asked to renew.
+    term_us: int = 0
+    at_us: int = 0
 
 
 class HomeBook(msgspec.Struct, frozen=True):
@@ -52,6 +56,8 @@
     returned: int = 0
     spec: Spec | None = None
     forced: str = ""
+    term_us: int = 0
+    since_us: int = 0  # time of day from which the term counts: of the grant, or of the last renewal
 
 
 class GuestBook(msgspec.Struct, frozen=True):
@@ -59,8 +65,10 @@
 
     loan: GuestLoan
     need: Need = Need()
-    since_us: int = 0  # time of day of the reservation
+    # Time of day of the reservation, or at which the last renewal was asked for: the term counts from here.
+    since_us: int = 0
     spec: Spec | None = None
+    term_us: int = 0
 
 
 class Entry(msgspec.Struct):
@@ -75,9 +83,13 @@
 
 class Books:
     """One cluster's loans. ``stamp`` is the revision of the leadership that keeps them: with a count it makes
-    numbers that never come again and only grow."""
+    numbers that never come again and only grow. ``lease_us`` is that of our workers, ``margin_us`` what our
+    controllers may take to notice something, with the error of their clocks."""
 
-    def __init__(self, stamp: int, grants: dict[str, Grant], reserve_us: int) -> None:
+    def __init__(
+        self, stamp: int, grants: dict[str, Grant], reserve_us: int, lease_us: int = 0, margin_us: int = 0
+    ) -> None:
+        self.lease_us, self.margin_us = lease_us, margin_us
         self.stamp = stamp
         self.count = 0
         self.grants = grants
@@ -117,7 +129,7 @@
 
     def lend(
         self, job: str, tasks: int, need: Need, lend: Lend, running: int, repeats: bool,
-        spec: Spec | None = None,
+        spec: Spec | None = None, term_us: int = 0,
     ) -> Entry | None:  # fmt: skip
         """Offer rows of a job to a peer; those that wait, from the lowest on."""
         book = self.home.get(job) or HomeBook(HomeLoan(tasks, repeats=repeats))
@@ -133,7 +145,9 @@
         loan, said = ho.offer(book.loan, number, rows, running)
         if loan == book.loan:
             return None
-        after = msgspec.structs.replace(book, loan=loan, peer=lend.peer, need=need, spec=spec)
+        after = msgspec.structs.replace(
+            book, loan=loan, peer=lend.peer, need=need, spec=spec, term_us=term_us
+        )
         return self._home_entry(job, after, said)
 
     def act(self, job: str, change: tuple[HomeLoan, list[Message]]) -> Entry | None:
@@ -154,19 +168,23 @@
         """What a peer says: an entry to write, or, if nothing changes, what to answer at once. ``free`` is
         what the cluster has for loans now; what is reserved is not free any more."""
         kind = said.message.kind
+        if kind == ho.RENEW:
+            return self._renew(peer, said, wall_us)
+        if kind == ho.RENEWED:
+            return self._renewed(peer, said)
         if kind in (ho.OFFER, ho.GRANT, ho.RECALL, ho.CONFIRM):
             guest = self.guest.get((peer, said.ref)) or GuestBook(GuestLoan())
-            fits = kind != ho.OFFER or self._room(peer, said, free)
+            fits = kind != ho.OFFER or (self._room(peer, said, free) and self._usable(said))
             loan, answers = ho.guest_hears(guest.loan, said.message, fits)
             out = [Said(said.ref, m) for m in answers]
             if loan == guest.loan:
                 return out
-            need, since, spec = guest.need, guest.since_us, guest.spec
+            after = msgspec.structs.replace(guest, loan=loan)
             if loan.state == ho.RESERVED and guest.loan.number != loan.number:
-                need, since, spec = said.need, wall_us, said.spec
+                after = GuestBook(loan, said.need, wall_us, said.spec, said.term_us)
             if loan.state == ho.NONE:
-                spec = None  # only the number must be remembered
-            return self._guest_entry(peer, said.ref, GuestBook(loan, need, since, spec), answers)
+                after = GuestBook(loan)  # only the number must be remembered
+            return self._guest_entry(peer, said.ref, after, answers)
         book = self.home.get(said.ref) or HomeBook(HomeLoan(0, state=ho.SETTLED))
         if book.peer and book.peer != peer:
             # A guest that this job is no longer with: whatever it was, it is over. Its number is never the
@@ -179,8 +197,68 @@
         if home == before or said.ref not in self.home:
             return [self._said(said.ref, m, book) for m in answers]
         came_back = before.state in (ho.GRANTED, ho.RECALLING) and home.state == ho.AT_HOME
-        after = msgspec.structs.replace(book, loan=home, returned=book.returned + came_back)
-        return self._home_entry(said.ref, after, answers)
+        since = wall_us if home.state == ho.GRANTED and before.state == ho.OFFERED else book.since_us
+        ended = msgspec.structs.replace(
+            book, loan=home, returned=book.returned + came_back, since_us=since
+        )
+        return self._home_entry(said.ref, ended, answers)
+
+    # -- terms -----------------------------------------------------------------------------------
+
+    def term(self, book: HomeBook | GuestBook) -> Term | None:
+        """The term of a loan as this side reckons it; None if it has none."""
+        save_us = book.spec.save_us if book.spec is not None else 0
+        return Term(book.term_us, self.lease_us, save_us, self.margin_us) if book.term_us else None
+
+    def _usable(self, said: Said) -> bool:
+        """Whether an offer leaves any time to run: work that may run twice needs a term, and one that is
+        longer than what we need to stop it."""
+        if not said.message.repeats:
+            return True
+        save_us = said.spec.save_us if said.spec is not None else 0
+        return Term(said.term_us, self.lease_us, save_us, self.margin_us).usable
+
+    def until_us(self, book: GuestBook) -> int:
+        """The time of day from which on nothing of a borrowed job may run here; 0: as long as it is held."""
+        term = self.term(book)
+        return book.since_us + term.stop_us if term is not None else 0
+
+    def over(self, book: HomeBook, wall_us: int) -> bool:
+        """Whether the guest has surely stopped: its term began no later than ours."""
+        term = self.term(book)
+        running = book.loan.state in (ho.GRANTED, ho.RECALLING) and book.loan.repeats
+        return running and term is not None and wall_us - book.since_us >= term.back_us
+
+    def renewal(self, peer: str, ref: str, wall_us: int) -> Said | None:
+        """What asks to renew a loan that we hold, if half of its time is over."""
+        book = self.guest.get((peer, ref))
+        term = self.term(book) if book is not None else None
+        if book is None or term is None or book.loan.state != ho.HOLDING:
+            return None
+        if not term.renew_us <= wall_us - book.since_us < term.stop_us:
+            return None
+        return Said(ref, Message(ho.RENEW, book.loan.number), at_us=wall_us)
+
+    def _renew(self, peer: str, said: Said, wall_us: int) -> Entry | list[Said]:
+        """A guest asks for as much time again: written down before it is answered."""
+        book = self.home.get(said.ref)
+        if book is None or book.peer != peer or book.loan.number != said.message.number:
+            return []
+        if book.loan.state != ho.GRANTED:
+            return [self._said(said.ref, m, book) for m in ho.home_says(book.loan)]
+        after = msgspec.structs.replace(book, since_us=max(book.since_us, wall_us))
+        entry = self._home_entry(said.ref, after, [])
+        entry.says = [Said(said.ref, Message(ho.RENEWED, book.loan.number), at_us=said.at_us)]
+        return entry
+
+    def _renewed(self, peer: str, said: Said) -> Entry | list[Said]:
+        """Home has given the time that was asked for then, by our own clock."""
+        book = self.guest.get((peer, said.ref))
+        if book is None or book.loan.number != said.message.number or book.loan.state != ho.HOLDING:
+            return []
+        if said.at_us <= book.since_us:
+            return []
+        return self._guest_entry(peer, said.ref, msgspec.structs.replace(book, since_us=said.at_us), [])
 
     def _room(self, peer: str, said: Said, free: Need) -> bool:
         grant = self.grants.get(peer)
@@ -213,7 +291,9 @@
 
     @staticmethod
     def _said(job: str, message: Message, book: HomeBook) -> Said:
-        return Said(job, message, book.need, book.spec if message.kind == ho.OFFER else None)
+        if message.kind != ho.OFFER:
+            return Said(job, message, book.need)
+        return Said(job, message, book.need, book.spec, book.term_us)
 
     def _guest_entry(self, peer: str, job: str, after: GuestBook, says: list[Message]) -> Entry:
         before = self.guest.get((peer, job))
--- a/pearstep/federation/desk.py
+++ b/pearstep/federation/desk.py
@@ -65,6 +65,12 @@
             self._first.setdefault(entry.peer, []).extend(said)
         return entry is not None and self.books.record(entry.key) == entry.after
 
+    def say(self, peer: str, said: Said) -> None:
+        """Something that changes no record here goes with the next envelope."""
+        box = self._first.setdefault(peer, [])
+        if said not in box:
+            box.append(said)
+
     async def hear(self, peer: str, envelope: Envelope) -> Envelope:
         """What a peer says, answered."""
         self._heard(peer, envelope)
--- a/pearstep/federation/handoff.py
+++ b/pearstep/federation/handoff.py
@@ -63,8 +63,8 @@
 OFFER, ACCEPT, REFUSE, GRANT, RECALL, OVER, RESULT, CONFIRM = (
     "offer", "accept", "refuse", "grant", "recall", "over", "result", "confirm",
 )  # fmt: skip
-# Why home ended or recalls a loan.
-WANTED, CANCELLED, FORCED = "wanted", "cancelled", "forced"
+# Of work with a term: the guest asks for as much time again, and is given it.
+RENEW, RENEWED = "renew", "renewed"
 
 
 class Message(msgspec.Struct, frozen=True, forbid_unknown_fields=False):
--- a/pearstep/federation/place.py
+++ b/pearstep/federation/place.py
@@ -61,6 +61,7 @@
         self._lent_us = -(1 << 60)
         self._offered: dict[str, int] = {}
         self._starting: set[str] = set()
+        self._renewing: dict[tuple[str, str], int] = {}
         self._listening = False
         self.facts = Facts()
 
@@ -91,7 +92,10 @@
         if self.node.store.refused_since is not None or not self.node.holding.awake():
             return None
         if chief is not self._chief:
-            books = Books(chief.stamp, {}, int(self.settings.reserve_s * US))
+            books = Books(
+                chief.stamp, {}, int(self.settings.reserve_s * US), self.node.settings.lease_us,
+                int(self.settings.margin_s * US),
+            )  # fmt: skip
             books.share(self.loans.home, self.loans.guest)
             self._chief = chief
             self._offered.clear()
@@ -133,7 +137,9 @@
             writes = home_writes(self.view, rest, entry, wall_us())
         else:
             peer, _, ref = rest.partition("/")
-            writes = guest_writes(self.view, peer, ref, entry, wall_us())
+            assert self.desk is not None and isinstance(entry.after, GuestBook)
+            until = self.desk.books.until_us(entry.after)
+            writes = guest_writes(self.view, peer, ref, entry, wall_us(), until)
         return writes is not None and await chief.commit(*writes) == COMMITTED
 
     async def step(self) -> None:
@@ -167,6 +173,9 @@
                     entry.after = msgspec.structs.replace(entry.after, forced=why)
                     log.warning("loan of %s to %s ended by an operator's word: %s", ref, book.peer, why)
                     await desk.do(entry)
+            elif desk.books.over(book, wall_us()):
+                log.info("the term of %s at %s is over: it is home again", ref, book.peer)
+                await desk.do(desk.books.act(ref, ho.term_over(book.loan)))
             elif book.loan.state == ho.OFFERED and (
                 (job is not None and job.final) or now - since >= self.settings.offer_s * US
             ):
@@ -190,6 +199,10 @@
                 await self._ended(desk, peer, ref, book, job)
             elif book.loan.state == ho.STOPPING and job is None:
                 await desk.do(desk.books.act_as_guest(peer, ref, ho.stopped(book.loan)))
+            if book.term_us and book.loan.state == ho.HOLDING:
+                await self._keep_term(desk, peer, ref, book)
+        for loan in [n for n in self._renewing if n not in self.loans.open_guest]:
+            del self._renewing[loan]
         s = self.settings
         for peer, ref in give_way(
             self.seen, rows, now_us(), int(s.yield_s * US), int(s.idle_s * US), wall_us()
@@ -198,13 +211,27 @@
             book = self.loans.guest[peer, ref]
             await desk.do(desk.books.act_as_guest(peer, ref, (ho.give_back(book.loan), [])))
 
+    async def _keep_term(self, desk: Desk, peer: str, ref: str, book: GuestBook) -> None:
+        """Ask for more time once half of it is over, and give back at its end. The owners stop what runs by
+        themselves then: this only says so to home."""
+        if wall_us() >= desk.books.until_us(book):
+            log.info("the term of %s from %s is over here", ref, peer)
+            await desk.do(desk.books.act_as_guest(peer, ref, (ho.give_back(book.loan), [])))
+        elif now_us() - self._renewing.get((peer, ref), -(1 << 60)) >= US:
+            said = desk.books.renewal(peer, ref, wall_us())
+            if said is not None:
+                self._renewing[peer, ref] = now_us()
+                desk.say(peer, said)
+
     async def _begin(self, peer: str, ref: str) -> None:
         """Bring what the job runs, then let it be a job here."""
         try:
             book, chief = self.loans.guest.get((peer, ref)), self._chief
             if book is None or chief is None:
                 return
-            rec = borrowed_rec(peer, ref, book, wall_us())
+            desk = self.desk
+            until = desk.books.until_us(book) if desk is not None else 0
+            rec = borrowed_rec(peer, ref, book, wall_us(), until)
             if rec is None or not await self.carrying.fetch_description(peer, ref, rec.spec.ref):
                 return
             # Only while the loan is held: stopping it writes the same record.
@@ -255,9 +282,10 @@
         for lend in choose(queue, rooms, self.policy, now):
             job = self.view.jobs[lend.ref]
             spec = job.spec
+            term_us = int(s.leaving.terms_s.get(spec.cls, 0.0) * US)
             entry = desk.books.lend(
                 lend.ref, spec.tasks, Need(spec.cpus, spec.gpus, spec.memory_gb), lend, job.run | job.done,
-                False, spec,
+                bool(term_us), spec, term_us,
             )  # fmt: skip
             if entry is not None:
                 log.info("offering %d tasks of %s to %s", lend.rows, lend.ref, lend.peer)
--- a/pearstep/federation/settings.py
+++ b/pearstep/federation/settings.py
@@ -34,6 +34,8 @@
     gain: NotNegative = 0.25
     least_gain_s: NotNegative = 5.0
     most_price: Positive = 2.0
+    # Classes whose work may run twice: after so long without a word it is taken back.
+    terms_s: dict[str, Positive] = {}
     most_under_way: Count = 32
     most_returns: Count = 3
 
@@ -51,7 +53,8 @@
     site's archive nodes (none: descriptions, logs and files are not carried). ``reserve_s``: how long room is
     kept for an offer; ``offer_s``: after how long one that is not answered is taken back; ``yield_s``: how
     long own work may wait before what is borrowed gives way; ``idle_s``: how long what is borrowed may find
-    no room before it is given back."""
+    no room before it is given back; ``margin_s``: what controllers may take to notice the end of a term,
+    with the error of their clocks."""
 
     keys: str
     binds: dict[str, Address]
@@ -62,6 +65,7 @@
     offer_s: Positive = 10.0
     yield_s: Positive = 2.0
     idle_s: Positive = 20.0
+    margin_s: Positive = 5.0
     step_s: Positive = 0.25
     lend_s: Positive = 1.0
 
--- a/pearstep/federation/writes.py
+++ b/pearstep/federation/writes.py
@@ -41,16 +41,19 @@
     return spec.ref.startswith("lent-")
 
 
-def borrowed_rec(peer: str, ref: str, book: GuestBook, wall_us: int) -> JobRec | None:
+def borrowed_rec(
+    peer: str, ref: str, book: GuestBook, wall_us: int, until_us: int = 0
+) -> JobRec | None:
     """The job that runs for a loan: with the numbers of its home's tasks, those that are not lent left out,
-    in the lowest priority and in a class of its own, so that it takes part in no aim or guarantee of ours."""
-    if book.spec is None or book.loan.state != ho.HOLDING:
+    in the lowest priority and in a class of its own, so that it takes part in no aim or guarantee of ours.
+    One whose term is over is not begun."""
+    if book.spec is None or book.loan.state != ho.HOLDING or (until_us and wall_us >= until_us):
         return None
     spec = msgspec.structs.replace(
         book.spec, ref=local_ref(peer, ref, book.loan.number), team=team_of(peer),
         cls=f"{peer}:{book.spec.cls}", priority=LOWEST, deadline_us=None,
     )  # fmt: skip
-    return JobRec(spec, wall_us, skip=to_ranges(spec.all_tasks & ~book.loan.rows))
+    return JobRec(spec, wall_us, skip=to_ranges(spec.all_tasks & ~book.loan.rows), until_us=until_us)
 
 
 def home_writes(view: View, ref: str, entry: Entry, wall_us: int) -> Writes | None:
@@ -88,8 +91,10 @@
     return puts, conditions
 
 
-def guest_writes(view: View, peer: str, ref: str, entry: Entry, wall_us: int) -> Writes | None:
-    """The transaction of an entry of the guest."""
+def guest_writes(
+    view: View, peer: str, ref: str, entry: Entry, wall_us: int, until_us: int = 0
+) -> Writes | None:
+    """The transaction of an entry of the guest; ``until_us`` is how long the loan may run after it."""
     assert isinstance(entry.after, GuestBook)
     loan = entry.after.loan
     puts: dict[str, Any] = {entry.key: entry.after}
@@ -101,4 +106,11 @@
         conditions[key] = view.stamp(key)
         if job is not None and job.state == QUEUED:
             puts[key] = JobRec(job.spec, job.at_us, CANCELLED, wall_us)
+    elif loan.state == ho.HOLDING and until_us:
+        # A renewal reaches the owners in the same step, or not at all.
+        key = f"j/{local_ref(peer, ref, loan.number)}"
+        job = view.jobs.get(key[2:])
+        if job is not None and job.state == QUEUED:
+            puts[key] = JobRec(job.spec, job.at_us, skip=to_ranges(job.skip), until_us=until_us)
+            conditions[key] = job.stamp
     return puts, conditions
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,286 @@
+"""Loans of work that may run twice: the guest has surely stopped before home takes them back, whatever the
+link, the clocks and either side's controllers do; and what an owner does at a term's end."""
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pearstep.core.model import US
+from pearstep.core.records import JobRec
+from pearstep.federation import handoff as ho
+from pearstep.federation.books import Books, Entry, GuestBook, HomeBook, Need, Said
+from pearstep.federation.handoff import GuestLoan, HomeLoan, Message
+from pearstep.federation.link import Envelope, decode, encode
+from pearstep.federation.overflow import Grant, Lend
+from pearstep.federation.terms import Term
+from pearstep.federation.writes import borrowed_rec, guest_writes, local_ref
+
+from .test_lending import Cluster
+from .world import World, spec
+
+TERM, LEASE, MARGIN = 200 * US, 16 * US, 5 * US
+NEED = Need(1.0, 0.0, 1.0)
+
+
+def test_owners_stop_what_is_past_its_time_though_nothing_can_be_written():
+    world = World()
+    world.machine("m0")
+    world.submit(spec(tasks=2))
+    rec = JobRec(spec(tasks=2), world.now, until_us=world.now + 30 * US)
+    world.put("j/req-1", rec)
+    starts = world.starts(world.run())
+    assert len(starts) == 2
+    tasks = [(name, n, "running") for _, name, n in sorted(starts)]
+    world.report("m0", *tasks)
+    world.later(29)
+    assert not [o for o in world.report("m0", *tasks) if o[0] == "stop"]
+    world.later(1)
+    # No commit from here on: the state service is away. The owner goes on answering, and says stop.
+    world.step()
+    orders = world.report("m0", *tasks)
+    assert sorted(o[:2] for o in orders if o[0] == "stop") == [("stop", "req-1/0"), ("stop", "req-1/1")]
+    assert all(grace == 3.0 for op, _, _, grace in orders if op == "stop")  # time to save, and the way
+
+
+def test_nothing_is_begun_after_its_time_and_a_renewal_gives_more():
+    world = World()
+    world.machine("m0")
+    world.put("j/req-1", JobRec(spec(tasks=1), world.now, until_us=world.now))
+    from pearstep.core.records import RouteRec
+
+    world.put("r/0/req-1", RouteRec("0"))
+    assert not world.starts(world.run())
+    world.put("j/req-1", JobRec(spec(tasks=1), world.now, until_us=world.now + 9 * US))
+    assert world.starts(world.run())
+    # An older record that arrives late takes nothing away.
+    job = world.view.jobs["req-1"]
+    job.update(JobRec(spec(tasks=1), world.now), job.stamp)
+    assert job.until_us == world.now + 9 * US
+
+
+def test_a_renewal_reaches_the_owners_in_the_step_that_writes_it():
+    there = Cluster()
+    one = spec(ref="req-5", kind="array", tasks=4)
+    book = GuestBook(GuestLoan(ho.HOLDING, 9, 0b11, high=9), NEED, 100, one, TERM)
+    there.put("g/huye/req-5", book)
+    rec = borrowed_rec("huye", "req-5", book, 100, 500)
+    assert rec.until_us == 500 and borrowed_rec("huye", "req-5", book, 500, 500) is None
+    there.put("j/lent-huye-5-9", rec)
+    after = msgspec.structs.replace(book, since_us=300)
+    entry = Entry("g/huye/req-5", book, after, "huye", [])
+    assert there.write(guest_writes(there.view, "huye", "req-5", entry, 301, 700))
+    job = there.view.jobs["lent-huye-5-9"]
+    assert job.until_us == 700 and job.done == 0b1100 and not job.final
+    # Beside a stop only one of the two stands.
+    again = Entry("g/huye/req-5", after, msgspec.structs.replace(after, since_us=400), "huye", [])
+    late = guest_writes(there.view, "huye", "req-5", again, 401, 800)
+    given_back = msgspec.structs.replace(after, loan=ho.give_back(after.loan))
+    stop = Entry("g/huye/req-5", after, given_back, "huye", [])
+    assert there.write(guest_writes(there.view, "huye", "req-5", stop, 402)) and not there.write(late)
+    assert job.final and job.until_us == 700
+
+
+def test_an_offer_whose_term_leaves_no_time_is_refused():
+    rows = ((TERM, True, True), (30 * US, True, False), (0, True, False), (0, False, True))
+    for term_us, repeats, taken in rows:
+        books = Books(1, {"huye": Grant(9, 9, 9)}, 30 * US, LEASE, MARGIN)
+        said = Said("req-1", Message(ho.OFFER, 5, 1, repeats=repeats), NEED, spec(), term_us)
+        found = books.hear("huye", said, Need(9, 9, 9), 7)
+        if taken:
+            assert isinstance(found, Entry) and found.after.loan.state == ho.RESERVED
+        else:
+            assert [s.message.kind for s in found] == [ho.REFUSE], (term_us, repeats)
+
+
+class Side:
+    """One site's clock (time of day, which drifts) and books."""
+
+    def __init__(self, drift, offset, grants):
+        self.drift, self.offset = drift, offset
+        self.books = Books(3, grants, 10**15, LEASE, MARGIN)
+
+    def wall(self, now):
+        return int(now * (1 + self.drift)) + self.offset
+
+
+class Pair:
+    def __init__(self, drift):
+        self.now = 0
+        self.home = Side(drift, 0, {})
+        self.there = Side(-drift, 10**9, {"huye": Grant(100, 100, 100)})
+        self.channel = []
+        self.job = spec(ref="req-1", kind="array", tasks=1, save_us=4 * US)
+        # The guest's side of the truth: until when tasks may run at the latest, if they ran at all.
+        self.runs_until = None
+
+    def write(self, side, entry):
+        said = side.books.written(entry, side.wall(self.now))
+        self.channel += [(side is self.home, s) for s in said]
+
+    def deliver(self, index):
+        from_home, said = self.channel[index % len(self.channel)]
+        side = self.there if from_home else self.home
+        peer = "huye" if from_home else "kigali"
+        out = side.books.hear(peer, said, Need(100, 100, 100), side.wall(self.now))
+        if isinstance(out, Entry):
+            self.write(side, out)
+        else:
+            self.channel += [(side is self.home, s) for s in out]
+
+    def guest(self):
+        return self.there.books.guest.get(("huye", "req-1"))
+
+    def owners_serve(self):
+        """Owners that know the records as they are now answer a worker: it lives a lease longer, unless its
+        time is over, when it is told to stop with time to save."""
+        book = self.guest()
+        if book is None or book.loan.state != ho.HOLDING:
+            return
+        until = self.there.books.until_us(book)
+        if self.there.wall(self.now) < until:
+            self.runs_until = max(self.runs_until or 0, self.now + int(LEASE * 1.0005))
+
+    def take_back(self):
+        book = self.home.books.home.get("req-1")
+        if book is not None and self.home.books.over(book, self.home.wall(self.now)):
+            entry = self.home.books.act("req-1", ho.term_over(book.loan))
+            self.write(self.home, entry)
+            if self.runs_until is not None:
+                # What was answered last, and what it then needs to save and to be noticed.
+                assert self.now >= self.runs_until + self.job.save_us, (self.now, self.runs_until)
+
+
+    def edge(self, guest):
+        """Go on to the last moment at which the guest may run, or to the first at which home may take
+        back."""
+        book, home = self.guest(), self.home.books.home["req-1"]
+        if guest and book is not None and book.loan.state == ho.HOLDING:
+            target = self.there.books.until_us(book) - 1
+            side, at = self.there, target
+        elif not guest and home.loan.state in (ho.GRANTED, ho.RECALLING):
+            side, at = self.home, home.since_us + self.home.books.term(home).back_us
+        else:
+            return
+        while side.wall(self.now) < at:
+            self.now += max(int((at - side.wall(self.now)) * 0.999), 1)
+
+
+STEPS = st.sampled_from(["any", "last", "last", "wait", "serve", "edge", "renew", "say", "back", "end"])
+
+
+@settings(max_examples=400, deadline=None)
+@given(
+    st.sampled_from([-0.0005, 0.0, 0.0005]),
+    st.lists(st.integers(0, 20 * US), min_size=3, max_size=3),
+    st.lists(st.tuples(st.integers(0, 20 * US), st.integers(0, 20 * US)), max_size=2),
+    st.lists(st.tuples(STEPS, st.integers(0, 10**6)), max_size=40),
+)
+def test_the_guest_has_stopped_before_home_takes_it_back(drift, delays, renewals, steps):
+    pair = Pair(drift)
+    lend = pair.home.books.lend("req-1", 1, NEED, Lend("req-1", "kigali", 1), 0, True, pair.job, TERM)
+    pair.write(pair.home, lend)
+    # The handoff, each message late: home hears of the acceptance long after the guest began to count.
+    for delay in delays:
+        pair.now += delay
+        pair.deliver(len(pair.channel) - 1)
+    # Renewals, asked for and answered as late.
+    for asked, told in renewals:
+        pair.now += TERM // 2
+        said = pair.there.books.renewal("huye", "req-1", pair.there.wall(pair.now))
+        if said is not None:
+            pair.channel.append((False, said))
+            for delay in (asked, told):
+                pair.now += delay
+                pair.deliver(len(pair.channel) - 1)
+    for what, pick in steps:
+        if what == "any":
+            pair.deliver(pick)  # any message that was ever sent, at any time, as often as one likes
+        elif what == "last":
+            pair.deliver(len(pair.channel) - 1)
+        elif what == "wait":
+            pair.now += pick % (60 * US)
+        elif what == "serve":
+            pair.owners_serve()
+        elif what == "edge":
+            pair.edge(guest=True)
+            pair.owners_serve()
+        elif what == "renew":
+            said = pair.there.books.renewal("huye", "req-1", pair.there.wall(pair.now))
+            if said is not None:
+                pair.channel.append((False, said))
+        elif what == "say":
+            book, loan = pair.guest(), pair.home.books.home["req-1"].loan
+            pair.channel += [(True, Said("req-1", m, NEED, pair.job, TERM)) for m in ho.home_says(loan)]
+            pair.channel += [(False, Said("req-1", m)) for m in (ho.guest_says(book.loan) if book else [])]
+        elif what == "end":
+            pair.edge(guest=False)
+        pair.take_back()
+    # Home takes it back at the last, or has its word.
+    pair.edge(guest=True)
+    pair.owners_serve()
+    pair.edge(guest=False)
+    pair.take_back()
+    assert pair.home.books.home["req-1"].loan.state == ho.AT_HOME
+
+
+def test_terms_that_are_renewed_last():
+    pair = Pair(0.0)
+    lend = pair.home.books.lend("req-1", 1, NEED, Lend("req-1", "kigali", 1), 0, True, pair.job, TERM)
+    pair.write(pair.home, lend)
+    for _ in range(4):
+        pair.deliver(len(pair.channel) - 1)
+    assert pair.guest().loan.state == ho.HOLDING
+    half = Term(TERM, LEASE, pair.job.save_us, MARGIN).renew_us
+    assert pair.there.books.renewal("huye", "req-1", pair.there.wall(half - 1)) is None
+    for _ in range(5):
+        pair.now += half
+        said = pair.there.books.renewal("huye", "req-1", pair.there.wall(pair.now))
+        pair.channel.append((False, said))
+        pair.deliver(len(pair.channel) - 1)
+        pair.deliver(len(pair.channel) - 1)
+        assert pair.guest().since_us == pair.there.wall(pair.now)
+        assert pair.home.books.home["req-1"].since_us == pair.now
+    # What is recalled is not renewed; its guest is told so again.
+    entry = pair.home.books.act("req-1", ho.recall(pair.home.books.home["req-1"].loan))
+    pair.write(pair.home, entry)
+    said = Said("req-1", Message(ho.RENEW, pair.guest().loan.number), at_us=1)
+    out = pair.home.books.hear("kigali", said, NEED, 0)
+    assert [s.message.kind for s in out] == [ho.RECALL]
+
+
+# -- a peer of the release before -------------------------------------------------------------------
+
+
+class OldSaid(msgspec.Struct, frozen=True):
+    ref: str
+    message: Message
+    need: Need = Need()
+
+
+class OldEnvelope(msgspec.Struct, frozen=True):
+    version: int
+    site: str
+    items: list[OldSaid]
+    whole: bool = False
+
+
+@given(
+    st.sampled_from([ho.OFFER, ho.GRANT, ho.RECALL, ho.CONFIRM, ho.RENEW, "something later"]), st.booleans()
+)  # fmt: skip
+def test_an_older_peer_reads_what_it_knows_and_we_read_what_it_says(kind, whole):
+    new = Envelope(1, "huye", [Said("req-1", Message(kind, 7, 3), NEED, spec(), TERM, 5)], whole)
+    old = msgspec.msgpack.decode(encode(new), type=OldEnvelope)
+    said = old.items[0]
+    assert (old.site, said.message.kind, said.need, old.whole) == ("huye", kind, NEED, whole)
+    older = OldEnvelope(1, "huye", [OldSaid("req-1", Message(kind, 7, 3))], whole)
+    back = decode(msgspec.msgpack.encode(older))
+    assert back.items[0].spec is None and back.offer is None
+    # Without the job itself nothing can be begun: it goes home again, and is not run as something else.
+    book = GuestBook(GuestLoan(ho.HOLDING, 7, 3, high=7), NEED, 0, back.items[0].spec)
+    assert borrowed_rec("huye", "req-1", book, 0) is None
+    # What nobody knows here changes nothing.
+    books = Books(1, {}, 1)
+    books.home["req-1"] = HomeBook(HomeLoan(2, state=ho.GRANTED, number=7, rows=3), "kigali")
+    if kind == "something later":
+        assert books.hear("kigali", back.items[0], NEED, 0) == []
+    assert local_ref("huye", "req-1", 7) == "lent-huye-1-7"
