A list of a done job's files says which are published, whoever asks first

Seen as a new user: right after its end a job's files were listed as unfinished, since nobody had read its set yet. The list now makes it if it is due.

--- a/pearstep/cli/logs.py
+++ b/pearstep/cli/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 from pathlib import Path
 from typing import Any
@@ -137,7 +138,13 @@
     superseded (another attempt's), or unfinished (the job has no published files yet)."""
     clients = Clients(root)
     attempts = await known(clients, ref, task)
-    one = await Sets(clients.archive).published(ref)
+    sets = Sets(clients.archive)
+    one = await sets.published(ref)
+    if one is None and attempts:
+        status = await clients.jobs.status(ref)
+        if status is not None and status.state == "done":
+            with contextlib.suppress(Unsettled):
+                one = await sets.publish(ref)
     rows = [
         {"task": a["task"], "attempt": a["attempt"], "standing": standing(a, one), **f}
         for a in attempts for f in a["artefacts"]
