What a peer gives back is stopped with time to save, and goes on at home

Need: a loan that its guest gives back should lose no more than it must. Tried on two sites: the task was killed, its job offered to the same peer again at once.

Change: given back of our own accord, a borrowed job's time is set to be past, so that its owners stop it in order; it is withdrawn once nothing of it is anywhere. What it saved comes home with its attempt, and the next attempt goes on from it (the last by time, since peers number anew; a gang's from one attempt of one cluster). `save: {whole: true}` keeps what a killed task of an array had written by itself. A site whose own work waits offers nothing to rent.

--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -84,7 +84,8 @@
         JOB.move(self, rec.state)
         self.stamp = stamp
         self.end_us = rec.end_us
-        self.until_us = max(self.until_us, rec.until_us)
+        if rec.until_us:
+            self.until_us = rec.until_us
 
     def over(self, wall_us: int) -> bool:
         """Whether the time is past during which it may run here."""
--- a/pearstep/federation/books.py
+++ b/pearstep/federation/books.py
@@ -79,6 +79,8 @@
     after: HomeBook | GuestBook
     peer: str
     says: list[Said]
+    # Of a loan that is being stopped: of our own accord, with time to save.
+    orderly: bool = False
 
 
 class Books:
--- a/pearstep/federation/place.py
+++ b/pearstep/federation/place.py
@@ -195,7 +195,10 @@
                 if name not in self._starting:
                     self._starting.add(name)
                     asyncio.ensure_future(self._begin(peer, ref))
-            elif job is not None and job.final and book.loan.state in (ho.HOLDING, ho.STOPPING):
+            elif job is not None and (
+                (job.final and book.loan.state in (ho.HOLDING, ho.STOPPING))
+                or (book.loan.state == ho.STOPPING and job.over(wall_us()) and not job.run)
+            ):
                 await self._ended(desk, peer, ref, book, job)
             elif book.loan.state == ho.STOPPING and job is None:
                 await desk.do(desk.books.act_as_guest(peer, ref, ho.stopped(book.loan)))
@@ -208,15 +211,21 @@
             self.seen, rows, now_us(), int(s.yield_s * US), int(s.idle_s * US), wall_us()
         ):
             log.info("giving %s back to %s", ref, peer)
-            book = self.loans.guest[peer, ref]
-            await desk.do(desk.books.act_as_guest(peer, ref, (ho.give_back(book.loan), [])))
+            await self._give_back(desk, peer, ref)
+
+    async def _give_back(self, desk: Desk, peer: str, ref: str) -> None:
+        """Of our own accord: what runs is stopped with time to save."""
+        entry = desk.books.act_as_guest(peer, ref, (ho.give_back(self.loans.guest[peer, ref].loan), []))
+        if entry is not None:
+            entry.orderly = True
+            await desk.do(entry)
 
     async def _keep_term(self, desk: Desk, peer: str, ref: str, book: GuestBook) -> None:
         """Ask for more time once half of it is over, and give back at its end. The owners stop what runs by
         themselves then: this only says so to home."""
         if wall_us() >= desk.books.until_us(book):
             log.info("the term of %s from %s is over here", ref, peer)
-            await desk.do(desk.books.act_as_guest(peer, ref, (ho.give_back(book.loan), [])))
+            await self._give_back(desk, peer, ref)
         elif now_us() - self._renewing.get((peer, ref), -(1 << 60)) >= US:
             said = desk.books.renewal(peer, ref, wall_us())
             if said is not None:
--- a/pearstep/federation/reckon.py
+++ b/pearstep/federation/reckon.py
@@ -119,7 +119,8 @@
 def room(grant: Grant, seen: Look, used: Amounts, reserved: Amounts, drained: bool) -> Amounts:
     """What a peer is offered now. Where machines may be rented for it, all that it is granted and does not
     hold; elsewhere what is idle and nobody waits for."""
-    if drained:
+    if drained or (grant.rent and seen.own != NONE):
+        # Seen: a site that had rented all that it could took back what it had just given back.
         return NONE
     if grant.rent:
         left = add((grant.cpus, grant.gpus, grant.memory_gb), used, -1)
--- a/pearstep/federation/writes.py
+++ b/pearstep/federation/writes.py
@@ -19,6 +19,8 @@
 
 Writes = tuple[dict[str, Any], dict[str, int]]
 LOWEST = len(PRIORITIES) - 1
+# A time that is past by every controller's clock: they differ by milliseconds.
+PAST_US = 2_000_000
 
 
 def local_ref(peer: str, ref: str, number: int) -> str:
@@ -99,13 +101,19 @@
     loan = entry.after.loan
     puts: dict[str, Any] = {entry.key: entry.after}
     conditions = {entry.key: view.stamp(entry.key)}
-    if loan.state == ho.STOPPING:
+    if loan.state in (ho.STOPPING, ho.GIVEN_BACK):
         # From here on nothing of it starts: the job is withdrawn in the same step, or can't come to be.
+        # Where it is given back of our own accord its owners stop it with time to save, as at the end of a
+        # term, and it is withdrawn once nothing of it is anywhere.
         key = f"j/{local_ref(peer, ref, loan.number)}"
         job = view.jobs.get(key[2:])
         conditions[key] = view.stamp(key)
         if job is not None and job.state == QUEUED:
-            puts[key] = JobRec(job.spec, job.at_us, CANCELLED, wall_us)
+            if entry.orderly:
+                skip = to_ranges(job.skip)
+                puts[key] = JobRec(job.spec, job.at_us, skip=skip, until_us=max(wall_us - PAST_US, 1))
+            else:
+                puts[key] = JobRec(job.spec, job.at_us, CANCELLED, wall_us)
     elif loan.state == ho.HOLDING and until_us:
         # A renewal reaches the owners in the same step, or not at all.
         key = f"j/{local_ref(peer, ref, loan.number)}"
--- a/pearstep/jobs/description.py
+++ b/pearstep/jobs/description.py
@@ -28,10 +28,13 @@
 
 class Save(msgspec.Struct, forbid_unknown_fields=True):
     """How a running task saves when it is stopped: it gets the signal, writes to the folder that
-    PEARSTEP_CHECKPOINT names, and ends with the code."""
+    PEARSTEP_CHECKPOINT names, and ends with the code. ``whole``: what is in that folder is of use at any
+    moment, since the task writes files beside and renames them; then it is kept of a task that was killed,
+    too."""
 
     signal: Signal = "TERM"
     code: Annotated[int, Meta(ge=1, le=255)] = 75
+    whole: bool = False
 
 
 class InputSet(msgspec.Struct, forbid_unknown_fields=True):
@@ -196,6 +199,8 @@
             return "run.outputs", f"{pattern!r} leaves the task's folder"
     if job.image.name.startswith("img-") and not ImageName.match(job.image.name):
         return "image.name", f"{job.image.name!r} is not img-NAME or img-NAME@VERSION"
+    if job.kind == "gang" and job.run.save is not None and job.run.save.whole:
+        return "run.save", "a gang's tasks save together when they are stopped; `whole` is for arrays"
     if job.kind == "gang" and job.tasks > 1 and job.run.save is None and job.checkpoint_s > 0:
         return "run.save", "a gang with checkpoint_s must say how it saves"
     if len(msgspec.json.encode(job)) > MOST_BYTES:
--- a/pearstep/worker/agent.py
+++ b/pearstep/worker/agent.py
@@ -400,7 +400,10 @@
         if cause == "done" and run.description is not None and run.description.run.outputs:
             run.published = False
             asyncio.ensure_future(self._publish(run))
-        elif cause == "saved" and run.archived:
+        elif run.folder is not None and (run.folder / CHECKPOINT).is_dir():
+            # Whoever goes on with it elsewhere should find it there.
+            hold = max(hold, min(self.settings.hold_s, 1.0))
+            run.held_until_us = now_us() + int(hold * US)
             run.published = False
             asyncio.ensure_future(self._publish_checkpoint(run))
         if run.abandoned or hold == 0:
--- a/pearstep/worker/materials.py
+++ b/pearstep/worker/materials.py
@@ -45,17 +45,28 @@
 def choose_checkpoint(
     attempts: Iterable[dict[str, Any]], tasks: int, task: int, gang: bool
 ) -> dict[str, Any] | None:
-    """The attempt whose checkpoint a task goes on from. A gang's members go on from the same attempt, the
-    last that all of them saved: one that had saved while a mate died in the middle of it would otherwise be
-    ahead of the others."""
-    saved = [a for a in attempts if a["cause"] == "saved" and file_of(a, CHECKPOINT_FILE)]
+    """The attempt whose checkpoint a task goes on from: the last that it saved, here or at a peer (whose
+    attempts are numbered anew). A gang's members go on from the same attempt, the last that all of them
+    saved: one that had saved while a mate died in the middle of it would otherwise be ahead of the others."""
+    # Of an array also what a killed task had saved by itself: it is published only if the job says that it is
+    # whole at any moment. A gang's tasks save together or not at all.
+    saved = [a for a in attempts if file_of(a, CHECKPOINT_FILE) and (a["cause"] == "saved" or not gang)]
     if gang:
-        members: dict[int, set[int]] = {}
+        members: dict[tuple[str, int], dict[int, int]] = {}
         for a in saved:
-            members.setdefault(a["attempt"], set()).add(a["task"])
-        saved = [a for a in saved if len(members[a["attempt"]]) == tasks]
+            rows = members.setdefault(_where(a), {})
+            rows[a["task"]] = max(rows.get(a["task"], 0), a["ended_us"])
+        whole = {w: max(rows.values()) for w, rows in members.items() if len(rows) == tasks}
+        last = max(whole, key=lambda w: (whole[w], w), default=None)
+        saved = [a for a in saved if _where(a) == last]
     mine = [a for a in saved if a["task"] == task]
-    return max(mine, key=lambda a: (a["attempt"], a["ended_us"]), default=None)
+    return max(mine, key=lambda a: (a["ended_us"], a["attempt"]), default=None)
+
+
+def _where(attempt: dict[str, Any]) -> tuple[str, int]:
+    """A gang's attempt: which cluster's, and its number there."""
+    peer, _, machine = attempt["machine"].partition(".")
+    return (peer if machine else "", attempt["attempt"])
 
 
 class Kept:
--- a/pearstep/worker/run.py
+++ b/pearstep/worker/run.py
@@ -145,7 +145,9 @@
         """Its last word, on disk. What it saved for the archive is moved to its folder first: from here on
         the next attempt of the task may use the place where it was."""
         assert self.folder is not None and self.spool is not None
-        if cause == "saved" and self.archived and self.checkpoint is not None:
+        save = self.description.run.save if self.description is not None else None
+        kept = cause == "saved" or (cause != "done" and save is not None and save.whole)
+        if kept and self.archived and self.checkpoint is not None:
             os.replace(self.checkpoint, self.folder / CHECKPOINT)
         code = None
         if self.end is not None:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -177,6 +177,18 @@
             # Decided before the job was there, written after: it withdraws the job as well.
             assert there.guest(stop)
             assert there.view.jobs[local[2:]].state == CANCELLED
+            # Of our own accord it is stopped with time to save, and withdrawn once nothing of it runs.
+            there = Cluster()
+            there.put("g/huye/req-5", book)
+            there.put(local, borrowed_rec("huye", "req-5", book, 5))
+            stop = there.books.act_as_guest("huye", "req-5", (ho.give_back(book.loan), []))
+            stop.orderly = True
+            assert there.write(guest_writes(there.view, "huye", "req-5", stop, 50 * S))
+            job = there.view.jobs[local[2:]]
+            assert job.state == QUEUED and job.over(49 * S)
+            held = there.loans.guest["huye", "req-5"].loan
+            gone = there.books.act_as_guest("huye", "req-5", ho.stopped(held))
+            assert there.guest(gone) and job.state == CANCELLED
         else:
             assert there.guest(stop) and not there.write(begin)
             assert local[2:] not in there.view.jobs
@@ -239,7 +251,10 @@
     assert room(grant, seen, zero, (5.0, 0.0, 0.0), False) == (15, 0, 100)
     assert room(grant, seen, zero, zero, True) == zero
     # What may be rented is offered whether it is there or not, less what is held.
-    assert room(Grant(30, 0, 30, rent=True), seen, (10.0, 0.0, 40.0), zero, False) == (20, 0, 0)
+    idle = Look(free=(0, 0, 0))
+    assert room(Grant(30, 0, 30, rent=True), idle, (10.0, 0.0, 40.0), zero, False) == (20, 0, 0)
+    # But not while own work waits: all that there is to rent is rented.
+    assert room(Grant(30, 0, 30, rent=True), seen, zero, zero, False) == zero
 
 
 def world_with(tasks, machines, running):
--- a/tests/test_materials.py
+++ b/tests/test_materials.py
@@ -33,20 +33,42 @@
             "cause": cause, "ended_us": at, "opened_us": at, "artefacts": files}  # fmt: skip
 
 
-@given(st.lists(st.tuples(st.integers(0, 2), st.integers(1, 5), st.booleans(), st.booleans()), max_size=15))
-def test_a_gang_goes_on_from_an_attempt_that_all_of_it_saved(rows):
+ROWS = st.lists(
+    st.tuples(st.integers(0, 2), st.integers(1, 4), st.sampled_from(["", "kigali."]), st.booleans(),
+              st.integers(1, 20)),
+    max_size=15, unique_by=lambda r: r[:3],
+)  # fmt: skip
+
+
+@given(ROWS)
+def test_a_gang_goes_on_from_the_last_attempt_that_all_of_it_saved(rows):
     attempts = [
-        attempt(t, n, "saved" if saved else "killed", CHECKPOINT_FILE if there else None)
-        for t, n, saved, there in rows
+        {**attempt(t, n, "saved" if saved else "killed", CHECKPOINT_FILE if saved else None, at=at),
+         "machine": f"{peer}i-{t}", "peer": peer}
+        for t, n, peer, saved, at in rows
     ]
-    whole = [n for n in range(1, 6) if all((t, n, True, True) in rows for t in range(3))]
+    groups = {}
+    for a in attempts:
+        if a["cause"] == "saved":
+            groups.setdefault((a["peer"], a["attempt"]), {})[a["task"]] = a["ended_us"]
+    whole = {g: max(found.values()) for g, found in groups.items() if len(found) == 3}
     chosen = [choose_checkpoint(attempts, 3, t, True) for t in range(3)]
-    assert [c and c["attempt"] for c in chosen] == [max(whole, default=None)] * 3
-    # A task that stands alone goes on from the last that it saved itself.
+    assert len({c and (c["peer"], c["attempt"]) for c in chosen}) == 1
+    if whole:
+        assert whole[chosen[0]["peer"], chosen[0]["attempt"]] == max(whole.values())
+    else:
+        assert chosen == [None] * 3
+    # A task that stands alone goes on from the last that it saved itself, wherever that was.
     for t in range(3):
-        mine = [n for n in range(1, 6) if (t, n, True, True) in rows]
+        mine = [a["ended_us"] for a in attempts if a["task"] == t and a["cause"] == "saved"]
         alone = choose_checkpoint(attempts, 3, t, False)
-        assert (alone and alone["attempt"]) == max(mine, default=None)
+        assert (alone and alone["ended_us"]) == max(mine, default=None)
+    # What a killed task had saved by itself counts for a task that stands alone, never for a gang.
+    killed = [attempt(t, 1, "killed", at=5) for t in range(3)]
+    assert choose_checkpoint(killed, 3, 1, True) is None
+    assert choose_checkpoint(killed, 3, 1, False) == killed[1]
+    nothing = [{**a, "artefacts": []} for a in attempts]
+    assert choose_checkpoint(nothing, 3, 0, False) is None
 
 
 def test_an_image_is_the_latest_push_or_the_version_that_is_named():
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -52,10 +52,12 @@
     assert not world.starts(world.run())
     world.put("j/req-1", JobRec(spec(tasks=1), world.now, until_us=world.now + 9 * US))
     assert world.starts(world.run())
-    # An older record that arrives late takes nothing away.
+    # Its end says nothing of the time; another time, later or sooner, counts at once.
     job = world.view.jobs["req-1"]
     job.update(JobRec(spec(tasks=1), world.now), job.stamp)
     assert job.until_us == world.now + 9 * US
+    job.update(JobRec(spec(tasks=1), world.now, until_us=world.now), job.stamp)
+    assert job.over(world.now)
 
 
 def test_a_renewal_reaches_the_owners_in_the_step_that_writes_it():
