A site that the cloud refuses offers nothing to rent; what is saved late still comes home

Tried on two sites: a peer that had rented all it could went on offering, and a checkpoint that was published after its attempt's end was not looked for any more. Offers of rented room pause while the cloud refuses; a loan's attempts are looked at for 30 s after its end; clusters with peers keep checkpoints in the archive.

--- a/pearstep/federation/carrying.py
+++ b/pearstep/federation/carrying.py
@@ -10,6 +10,7 @@
 import logging
 import re
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,7 @@
 from ..core.records import QUEUED
 from ..core.view import View
 from ..jobs.description import DescriptionError, decode, encode
+from ..links import clocks
 from ..links.http import Answer, Client
 from . import handoff as ho
 from .link import Link
@@ -32,6 +34,7 @@
 
 DESCRIPTION, ATTEMPTS, READ, FILE = "/v1/description", "/v1/attempts", "/v1/read", "/v1/file"
 AT_ONCE = 4
+LINGER_US = 30_000_000
 REF = re.compile(r"req-[0-9]{1,20}")
 Read = tuple[bytes, list[tuple[int, int]]]
 
@@ -62,13 +65,18 @@
 class Carrying:
     """One site's end. Without archives nothing is carried, and descriptions are not needed."""
 
-    def __init__(self, archives: list[str], link: Link, loans: Loans, view: View) -> None:
+    def __init__(
+        self, archives: list[str], link: Link, loans: Loans, view: View,
+        now_us: Callable[[], int] = clocks.now_us,
+    ) -> None:  # fmt: skip
         self.archive = ArchiveClient(Client(20), archives) if archives else None
         self.link = link
         self.loans = loans
         self.view = view
         self.copied_bytes = 0
         self._whole: set[tuple[str, int]] = set()
+        self._over_us: dict[tuple[str, int], int] = {}
+        self._now_us = now_us
         self._watched: dict[tuple[str, int], str] = {}
 
     # -- what peers ask --------------------------------------------------------------------------
@@ -175,9 +183,13 @@
         except (Broken, ArchiveAway, msgspec.MsgspecError) as err:
             log.debug("logs of %s wait: %s", ref, err)
             return
-        if over and found.certain and all(whole):
+        if not (over and found.certain and all(whole)):
+            return
+        # What a task saved follows its end: it is looked for a while longer.
+        since = self._over_us.setdefault((ref, number), self._now_us())
+        if self._now_us() - since >= LINGER_US:
             self._whole.add((ref, number))
-            del self._watched[ref, number]
+            del self._watched[ref, number], self._over_us[ref, number]
 
     async def _copy_attempt(self, peer: str, ref: str, attempt: dict[str, Any]) -> bool:
         """Bring one attempt up to date; whether all of it is here."""
--- a/pearstep/federation/place.py
+++ b/pearstep/federation/place.py
@@ -321,7 +321,9 @@
 
     def planned(self, chief: Chief) -> None:
         """After a pass: what is free, and what waits."""
-        self.seen = look(chief.leader, self.seen, now_us())
+        now = now_us()
+        self.seen = look(chief.leader, self.seen, now)
+        self.seen.refused = any(until > now for until in chief.fleet.refused.values())
         rents = {f"peer:{name}" for name, rec in self.loans.peers.items() if rec.grant.rent}
 
         def wanted(row: tuple[Job, int]) -> bool:
--- a/pearstep/federation/reckon.py
+++ b/pearstep/federation/reckon.py
@@ -42,6 +42,7 @@
     own: Amounts = NONE
     lent: Amounts = NONE
     own_since_us: int | None = None
+    refused: bool = False  # the cloud had no machine for us a moment ago
 
 
 def waiting_jobs(leader: Leader) -> list[tuple[Job, int]]:
@@ -119,7 +120,7 @@
 def room(grant: Grant, seen: Look, used: Amounts, reserved: Amounts, drained: bool) -> Amounts:
     """What a peer is offered now. Where machines may be rented for it, all that it is granted and does not
     hold; elsewhere what is idle and nobody waits for."""
-    if drained or (grant.rent and seen.own != NONE):
+    if drained or (grant.rent and (seen.own != NONE or seen.refused)):
         # Seen: a site that had rented all that it could took back what it had just given back.
         return NONE
     if grant.rent:
--- a/pearstep/local/layout.py
+++ b/pearstep/local/layout.py
@@ -139,7 +139,9 @@
         "kinds": [msgspec.to_builtins(k) for k in cluster.machines],
         "worker": {
             "nodes": cluster.nodes, "archives": list(cluster.archives.values()),
-            "checkpoints": str((root / "checkpoints").resolve()), **TIMES, **cluster.worker,
+            # What goes home from a peer must be in the archive.
+            "checkpoints": "" if cluster.site else str((root / "checkpoints").resolve()),
+            **TIMES, **cluster.worker,
         },
     }))  # fmt: skip
     (conf / "state.yaml").write_text(yaml.safe_dump({
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -11,7 +11,7 @@
 from pearstep.core.view import View
 from pearstep.federation import handoff as ho
 from pearstep.federation.books import HomeBook, Need
-from pearstep.federation.carrying import Carrying
+from pearstep.federation.carrying import LINGER_US, Carrying
 from pearstep.federation.handoff import HomeLoan
 from pearstep.federation.link import Link
 from pearstep.federation.replica import Loans
@@ -42,7 +42,10 @@
         self.link = Link(keys, {other: [addrs[other]]}, nobody, self.serve)
         host, _, port = addrs[name].rpartition(":")
         assert self.link.listen(host, int(port))
-        self.carrying = Carrying(list(self.site.addrs.values()), self.link, self.loans, self.view)
+        self.now = 0
+        self.carrying = Carrying(
+            list(self.site.addrs.values()), self.link, self.loans, self.view, lambda: self.now
+        )
 
     async def serve(self, peer, request):
         return await self.carrying.serve(peer, request)
@@ -132,7 +135,11 @@
         data, holes = await home.site.client.read(mine, "stdout", 0)
         assert data[:15] == b"half of it\nrest" and holes == [(15, 6)]
         assert [(f["name"], f["size"]) for f in found["artefacts"]] == [("maps/a.tif", 2_400_000)]
-        # All of it is here: nothing is asked for any more.
+        # All of it is here. What a task saved may follow its end; after a while nothing is asked for any
+        # more.
+        assert home.carrying._watched
+        home.now += LINGER_US
+        await home.carrying.step()
         assert not home.carrying._watched
         before = home.carrying.copied_bytes
         await home.carrying.step()
@@ -154,7 +161,10 @@
         home.link.peers["nyarugenge"] = [free_addr(), *addrs]
         await home.carrying.step()
         (found,) = await home.site.client.attempts("req-1")
-        assert found["cause"] == "error" and not home.carrying._watched
+        assert found["cause"] == "error"
+        home.now += LINGER_US
+        await home.carrying.step()
+        assert not home.carrying._watched
 
     play(scenario, tmp_path)
 
