Packs are unpacked safely on Python 3.11 before 3.11.4, too

Seen in a fresh environment with 3.11.2: tarfile has no filter there, and images and checkpoints could not be unpacked. Names are checked and links refused.

--- a/pearstep/archive/packs.py
+++ b/pearstep/archive/packs.py
@@ -43,7 +43,7 @@
     beside.mkdir(parents=True)
     try:
         with tarfile.open(pack) as source:
-            source.extractall(beside, filter="data")
+            _extract(source, beside)
     except (tarfile.TarError, OSError, ValueError) as err:
         shutil.rmtree(beside, ignore_errors=True)
         raise BadPack(f"{pack.name}: {err}") from None
@@ -53,6 +53,18 @@
     return size_of(folder)
 
 
+def _extract(source: tarfile.TarFile, folder: Path) -> None:
+    """Releases of Python 3.11 before 3.11.4 have no filter: there, names are checked here and links refused."""
+    if hasattr(tarfile, "data_filter"):
+        source.extractall(folder, filter="data")
+        return
+    for info in source.getmembers():
+        parts = Path(info.name).parts
+        if info.name.startswith("/") or ".." in parts or not (info.isfile() or info.isdir()):
+            raise tarfile.TarError(f"{info.name!r} is not a plain file or folder below it")
+    source.extractall(folder)
+
+
 def size_of(folder: Path) -> int:
     """Bytes of all files below a folder."""
     return sum(p.lstat().st_size for p in folder.rglob("*") if p.is_file() and not p.is_symlink())
