--- a/pearstep/archive/packs.py
+++ b/pearstep/archive/packs.py
@@ -54,7 +54,8 @@
 
 
 def _extract(source: tarfile.TarFile, folder: Path) -> None:
-    """Releases of Python 3.11 before 3.11.4 have no filter: there, names are checked here and links refused."""
+    """Releases of Python 3.11 before 3.11.4 have no filter: there, names are checked here and links
+    refused."""
     if hasattr(tarfile, "data_filter"):
         source.extractall(folder, filter="data")
         return
