What is left of a task's checkpoint folder goes with its attempt

Read once more: the folder of a task that saves to the archive stayed on the machine after its end, and the function that was written to remove it was never called. A saved folder is moved aside first, as before.

--- a/pearstep/worker/agent.py
+++ b/pearstep/worker/agent.py
@@ -393,6 +393,8 @@
         run.why, run.saved = why, saved
         self.gangs.drop(run, phase)
         run.seal(self.place, cause)
+        if run.archived:
+            self.materials.forget(run.job, run.task)
         self._release(run)
         run.move(HELD)
         hold = 0 if cause in ("killed", "mates gone") or run.abandoned else self.settings.hold_s
