One piece for what the change wrote twice; only open loans are gone through

The books and the carrying of logs went through every loan there ever was, several times a second, though records stay when loans are over.

Now `client.archive.digest`, `save` and `keep`, `harness.leaders`, `HomeTerm.over` and `root_key` serve both sides; books that share the replica's records go through its open ones. Behaviour is as it was, but that keeping a set no longer takes a refusal (409) of its empty record for success.

--- a/measurements/cluster_restart.py
+++ b/measurements/cluster_restart.py
@@ -33,7 +33,7 @@
 from pearstep.links.http import Client
 from pearstep.local.layout import load, make
 
-from .harness import ROOT, say
+from .harness import ROOT, leaders, say
 
 TASKS = 3
 FIRST = """
@@ -89,20 +89,12 @@
 
     def _processes(self, kind: str) -> list[int]:
         """Leaders of process groups of this cluster: controllers, archive nodes or agents."""
-        words = {"node": b"--config", "archive": b"--config", "worker": b"--config"}[kind]
-        out = []
-        for folder in Path("/proc").iterdir():
-            if not folder.name.isdigit():
-                continue
-            try:
-                argv = (folder / "cmdline").read_bytes().split(b"\0")
-                leads = os.getpgid(int(folder.name)) == int(folder.name)
-            except OSError:
-                continue
-            mine = any(a.startswith(str(self.root).encode()) for a in argv)
-            if leads and mine and kind.encode() in argv and words in argv:
-                out.append(int(folder.name))
-        return out
+        root = str(self.root).encode()
+
+        def wanted(argv: list[bytes]) -> bool:
+            return kind.encode() in argv and b"--config" in argv and any(a.startswith(root) for a in argv)
+
+        return leaders(wanted)
 
     def _strike(self) -> None:
         """All controllers at once, half of the agents, and now and then an archive node."""
--- a/measurements/federation_cuts.py
+++ b/measurements/federation_cuts.py
@@ -33,7 +33,7 @@
 from pearstep.links.http import Client
 from pearstep.local.layout import load, make, save
 
-from .harness import ROOT, say
+from .harness import ROOT, leaders, say
 from .relay import CUTS, PASS, Relay
 
 SITES = ("huye", "nyarugenge")
@@ -222,18 +222,10 @@
     def _kill(self, site: str) -> None:
         """SIGKILL to one of a site's controllers; its supervisor starts it anew."""
         name = self.rng.choice(list(self.clusters[site].nodes))
-        for folder in Path("/proc").iterdir():
-            if not folder.name.isdigit():
-                continue
-            try:
-                argv = (folder / "cmdline").read_bytes().split(b"\0")
-                if os.getpgid(int(folder.name)) != int(folder.name):
-                    continue
-            except OSError:
-                continue
-            if str(self.root / site / "conf" / f"{name}.toml").encode() in argv:
-                os.kill(int(folder.name), signal.SIGKILL)
-                self.count["controllers_killed"] += 1
+        config = str(self.root / site / "conf" / f"{name}.toml").encode()
+        for pid in leaders(lambda argv: config in argv):
+            os.kill(pid, signal.SIGKILL)
+            self.count["controllers_killed"] += 1
 
     def _compare(
         self, number: int, jobs: dict[str, int], states: dict[str, str], told: dict[str, float]
--- a/measurements/harness.py
+++ b/measurements/harness.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -101,6 +102,23 @@
         return 200, orders_body(1, orders), {}
 
 
+def leaders(wanted: Callable[[list[bytes]], bool]) -> list[int]:
+    """Processes that lead their group and whose arguments are wanted: what a supervisor or a cloud has
+    started, not what that has forked."""
+    out = []
+    for folder in Path("/proc").iterdir():
+        if not folder.name.isdigit():
+            continue
+        try:
+            argv = (folder / "cmdline").read_bytes().split(b"\0")
+            leads = os.getpgid(int(folder.name)) == int(folder.name)
+        except OSError:
+            continue
+        if leads and wanted(argv):
+            out.append(int(folder.name))
+    return out
+
+
 def state_service() -> tuple[StateService, str]:
     """A state service in this process."""
     service, addr = StateService(None, 1e6, 1e6, 16, 16), f"127.0.0.1:{free_port()}"
--- a/measurements/history.py
+++ b/measurements/history.py
@@ -84,7 +84,7 @@
         bucket = bucket_of(number)
         waiting[bucket].append(Settled(one, ((f"j/{ref}", 1),)))
         if len(waiting[bucket]) == BATCH:
-            compactions[bucket].begin(built.roots[bucket], waiting[bucket])
+            compactions[bucket].begin(waiting[bucket])
             built.run(compactions[bucket], bucket)
             waiting[bucket] = []
             while old := due(built.roots[bucket]):
@@ -92,7 +92,7 @@
                 compactions[bucket].begin_merge(built.roots[bucket], read)
                 built.run(compactions[bucket], bucket)
     for bucket, rest in waiting.items():
-        if compactions[bucket].begin(built.roots[bucket], rest):
+        if compactions[bucket].begin(rest):
             built.run(compactions[bucket], bucket)
     building_s = time.process_time() - begun
     roots = {root_key(b): msgspec.json.encode(r) for b, r in built.roots.items()}
--- a/pearstep/archive/packs.py
+++ b/pearstep/archive/packs.py
@@ -3,14 +3,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import os
 import shutil
 import tarfile
 from pathlib import Path
 
-PART = 1024 * 1024
-
 
 class BadPack(Exception):
     """Not a pack, or one that would write outside its folder; the text says which."""
@@ -69,12 +66,3 @@
 def size_of(folder: Path) -> int:
     """Bytes of all files below a folder."""
     return sum(p.lstat().st_size for p in folder.rglob("*") if p.is_file() and not p.is_symlink())
-
-
-def digest_of(path: Path) -> str:
-    """SHA-256 of a file, in hexadecimal."""
-    sha = hashlib.sha256()
-    with open(path, "rb") as source:
-        while part := source.read(PART):
-            sha.update(part)
-    return sha.hexdigest()
--- a/pearstep/cli/images.py
+++ b/pearstep/cli/images.py
@@ -10,12 +10,11 @@
 
 import click
 
-from ..archive.packs import digest_of, pack_folder
-from ..archive.records import Append, Key, Seal
+from ..archive.packs import pack_folder
+from ..archive.records import Key
 from ..archive.retention import IMAGE_CLASS
-from ..client.archive import ArchiveAway
+from ..client.archive import digest
 from ..jobs.description import ImageName
-from ..links.clocks import wall_us
 from ..worker.materials import IMAGE, IMAGE_FILE, SHORT, file_of
 from .common import NO, WRONG, Clients, command, fail, output, show
 
@@ -50,9 +49,9 @@
     scratch = Path(tempfile.mkdtemp(prefix="pearstep-image-"))
     try:
         pack_folder(folder, scratch / IMAGE_FILE)
-        digest = digest_of(scratch / IMAGE_FILE)
+        sha, _ = digest(scratch / IMAGE_FILE)
         found = versions(await clients.archive.attempts(job) or [])
-        if not found or not digest.startswith(found[-1]["image"].partition("@")[2]):
+        if not found or not sha.startswith(found[-1]["image"].partition("@")[2]):
             await _push(clients, job, team, scratch)
             found = versions(await clients.archive.attempts(job) or [])
     finally:
@@ -63,16 +62,8 @@
 
 async def _push(clients: Clients, job: str, team: str, scratch: Path) -> None:
     """An image is a record like an attempt's, of a writer that nobody else is, with one file."""
-    now = wall_us()
     key = Key(job, 0, 1, f"push-{secrets.token_hex(6)}", 1)
-    opened = Append(key, 1, team, IMAGE_CLASS, now, [], Seal("done", 0, {}, now))
-    owners = await clients.archive.owners(job, 0)
-    if not owners:
-        raise ArchiveAway("no archive node answers")
-    result = (await clients.archive.append(owners[0], [opened]))[0]
-    if result.status != 200:
-        raise ArchiveAway(f"the archive answers {result.status}: {result.why}")
-    why = await clients.archive.publish(key, team, scratch, [IMAGE_FILE])
+    why = await clients.archive.keep(key, team, IMAGE_CLASS, scratch, IMAGE_FILE)
     if why:
         fail(why, NO)
 
--- a/pearstep/client/archive.py
+++ b/pearstep/client/archive.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import AsyncIterator
+import os
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +14,8 @@
 from ..archive.frames import File
 from ..archive.messages import AppendBatch, Publish, Result
 from ..archive.placement import Layout, bucket_of
-from ..archive.records import Append, Key
+from ..archive.records import Append, Key, Seal
+from ..links.clocks import wall_us
 from ..links.http import Client
 
 PART = 1024 * 1024
@@ -131,6 +133,19 @@
                 at = answer["have"]
         return ""
 
+    async def keep(self, key: Key, team: str, cls: str, folder: Path, name: str) -> str:
+        """Keep one file under a record that nobody writes to: begun, ended and published at once. '' once it
+        is there, a reason that will not change, or raises ArchiveAway."""
+        owners = await self.owners(key.job, key.task)
+        if not owners:
+            raise ArchiveAway("no archive node answers")
+        now = wall_us()
+        item = Append(key, 1, team, cls, now, [], Seal("done", 0, {}, now))
+        result = (await self.append(owners[0], [item]))[0]
+        if result.status != 200:
+            raise ArchiveAway(f"the archive answers {result.status}: {result.why}")
+        return await self.publish(key, team, folder, [name])
+
     # -- readers ---------------------------------------------------------------------------------
 
     async def look(self, job: str, task: int | None = None) -> Found | None:
@@ -179,6 +194,23 @@
             at += len(part)
             yield part
 
+    async def save(
+        self, key: Key, content: str, size: int, path: Path, progress: Callable[[int], object] | None = None
+    ) -> None:
+        """Bring a published file to ``path``, verified, whole or not at all. Raises ArchiveAway."""
+        beside = path.with_name(path.name + ".part")
+        sha = hashlib.sha256()
+        with open(beside, "wb") as out:
+            async for part in self.blob(key, content, size):
+                sha.update(part)
+                out.write(part)
+                if progress is not None:
+                    progress(len(part))
+        if sha.hexdigest() != content:
+            beside.unlink()
+            raise ArchiveAway(f"{path.name}: the bytes that came do not have its digest")
+        os.replace(beside, path)
+
 
 def key_of(attempt: dict[str, Any]) -> Key:
     """The name of an attempt's record, from what readers are told of it."""
--- a/pearstep/client/sets.py
+++ b/pearstep/client/sets.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import hashlib
-import os
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -12,7 +11,7 @@
 import msgspec
 
 from ..archive.messages import SETS
-from ..archive.records import Append, Key, Seal
+from ..archive.records import Key
 from ..archive.sets import SET_FILE, Input, PublishedSet, Unsettled, answers, build, decode, digest_of, encode
 from ..jobs.description import Description, DescriptionError
 from ..jobs.description import decode as decode_job
@@ -100,23 +99,15 @@
             raise Unsettled(f"its description cannot be read: {err}") from None
 
     async def _keep(self, ref: str, digest: str, body: bytes) -> None:
-        key, now = _key(ref, digest), wall_us()
-        owners = await self.archive.owners(key.job, key.task)
-        if not owners:
-            raise ArchiveAway("no archive node answers")
-        item = Append(key, 1, "", "set", now, [], Seal("done", 0, {}, now))
-        result = (await self.archive.append(owners[0], [item]))[0]
-        if result.status not in (200, 409):
-            raise ArchiveAway(f"the archive answers {result.status}: {result.why}")
         with tempfile.TemporaryDirectory(prefix="pearstep-set-") as folder:
             (Path(folder) / SET_FILE).write_bytes(body)
-            why = await self.archive.publish(key, "", Path(folder), [SET_FILE])
+            why = await self.archive.keep(_key(ref, digest), "", "set", Path(folder), SET_FILE)
         if why:
             raise ArchiveAway(f"the set of {ref} was not taken: {why}")
 
     async def fetch(
         self, one: PublishedSet, target: Path, names: set[str] | None = None,
-        progress: Callable[[int], object] = lambda count: None,
+        progress: Callable[[int], object] | None = None,
     ) -> list[Path]:  # fmt: skip
         """Bring a set's files, verified, each whole or not at all. Raises ArchiveAway."""
         out = []
@@ -125,17 +116,7 @@
                 continue
             path = target / m.name
             path.parent.mkdir(parents=True, exist_ok=True)
-            beside = path.with_name(path.name + ".part")
-            sha = hashlib.sha256()
             key = Key(one.ref, m.task, m.attempt, m.machine, m.start)
-            with open(beside, "wb") as file:
-                async for part in self.archive.blob(key, m.sha256, m.size):
-                    sha.update(part)
-                    file.write(part)
-                    progress(len(part))
-            if sha.hexdigest() != m.sha256:
-                beside.unlink()
-                raise ArchiveAway(f"{m.name}: the bytes that came do not have its digest")
-            os.replace(beside, path)
+            await self.archive.save(key, m.sha256, m.size, path, progress)
             out.append(path)
         return out
--- a/pearstep/federation/books.py
+++ b/pearstep/federation/books.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 import msgspec
 
@@ -17,7 +17,7 @@
 from .handoff import GuestLoan, HomeLoan, Message
 from .overflow import Grant, Lend
 from .peers import Peer
-from .terms import Term
+from .terms import HomeTerm, Term
 
 FIRST_AGAIN_US, LONGEST_AGAIN_US = 1_000_000, 30_000_000
 MOST_IN_ENVELOPE = 200
@@ -98,6 +98,8 @@
         self.reserve_us = reserve_us
         self.home: dict[str, HomeBook] = {}
         self.guest: dict[tuple[str, str], GuestBook] = {}
+        self._open_home: Collection[str] | None = None
+        self._open_guest: Collection[tuple[str, str]] | None = None
         self._again: dict[tuple[str, str, str], tuple[int, int]] = {}  # next time and pause
 
     def load(self, home: dict[str, HomeBook], guest: dict[tuple[str, str], GuestBook]) -> None:
@@ -105,11 +107,32 @@
         self.home, self.guest = dict(home), dict(guest)
 
     def share(
-        self, home: dict[str, HomeBook], guest: dict[tuple[str, str], GuestBook]
-    ) -> None:
+        self, home: dict[str, HomeBook], guest: dict[tuple[str, str], GuestBook], open_home: Collection[str],
+        open_guest: Collection[tuple[str, str]],
+    ) -> None:  # fmt: skip
         """Keep the records in these, which somebody else follows too: what another node writes is decided on
-        from then on."""
+        from then on. ``open_home`` and ``open_guest`` name those that are not over, which alone are gone
+        through: records stay when their loans are over, and each round would cost more than the last."""
         self.home, self.guest = home, guest
+        self._open_home, self._open_guest = open_home, open_guest
+
+    def _homes(self) -> list[tuple[str, HomeBook]]:
+        """Records as home, at least those whose loans are open."""
+        if self._open_home is None:
+            return list(self.home.items())
+        return [(job, self.home[job]) for job in self._open_home]
+
+    def _guests(self) -> list[tuple[str, str, GuestBook]]:
+        """Records as guest (peer, job, record), at least those whose loans are open."""
+        names = self.guest if self._open_guest is None else self._open_guest
+        return [(peer, job, self.guest[peer, job]) for peer, job in names]
+
+    def _says(self) -> Iterator[tuple[str, str, str, list[Said]]]:
+        """What every record permits to be said: kind, peer, job, messages."""
+        for job, home in self._homes():
+            yield "l", home.peer, job, [self._said(job, m, home) for m in ho.home_says(home.loan)]
+        for peer, job, guest in self._guests():
+            yield "g", peer, job, [Said(job, m) for m in ho.guest_says(guest.loan)]
 
     def record(self, key: str) -> HomeBook | GuestBook | None:
         """A record by its key."""
@@ -121,10 +144,9 @@
 
     def unsaid(self, peer: str) -> bool:
         """Whether something that is open with a peer has not been said since it came back."""
-        open_home = (("l", j) for j, b in self.home.items() if b.peer == peer and ho.home_says(b.loan))
-        open_guest = (("g", j) for (p, j), b in self.guest.items() if p == peer and ho.guest_says(b.loan))
         return any(
-            (kind, peer, job) not in self._again for rows in (open_home, open_guest) for kind, job in rows
+            says and to == peer and (kind, to, job) not in self._again
+            for kind, to, job, says in self._says()
         )
 
     # -- what is asked of the books --------------------------------------------------------------
@@ -229,7 +251,7 @@
         """Whether the guest has surely stopped: its term began no later than ours."""
         term = self.term(book)
         running = book.loan.state in (ho.GRANTED, ho.RECALLING) and book.loan.repeats
-        return running and term is not None and wall_us - book.since_us >= term.back_us
+        return running and term is not None and HomeTerm(term, book.since_us).over(wall_us)
 
     def renewal(self, peer: str, ref: str, wall_us: int) -> Said | None:
         """What asks to renew a loan that we hold, if half of its time is over."""
@@ -279,11 +301,11 @@
 
     def used(self, peer: str) -> tuple[float, float, float]:
         """What a peer's loans hold of its grant: reserved, running and stopping."""
-        return _sum(b for (p, _), b in self.guest.items() if p == peer and b.loan.state in _OCCUPIED)
+        return _sum(b for p, _, b in self._guests() if p == peer and b.loan.state in _OCCUPIED)
 
     def reserved(self) -> tuple[float, float, float]:
         """What is kept for offers that were accepted and not granted yet."""
-        return _sum(b for b in self.guest.values() if b.loan.state == ho.RESERVED)
+        return _sum(b for _, _, b in self._guests() if b.loan.state == ho.RESERVED)
 
     # -- entries ---------------------------------------------------------------------------------
 
@@ -325,22 +347,14 @@
         """What is to be said again by peer, at most an envelope each: what has not been answered, after a
         pause that doubles. A peer that came back is told of every loan before it counts as up."""
         out: dict[str, list[Said]] = {}
-        open_home = (
-            (job, b.peer, [self._said(job, m, b) for m in ho.home_says(b.loan)])
-            for job, b in self.home.items()
-        )
-        open_guest = (
-            (job, peer, [Said(job, m) for m in ho.guest_says(b.loan)]) for (peer, job), b in
-            self.guest.items() )
-        for kind, rows in (("l", open_home), ("g", open_guest)):
-            for job, peer, says in rows:
-                if not says or peer not in peers:
-                    continue
-                key = (kind, peer, job)
-                box = out.setdefault(peer, [])
-                if now_us >= self._again.get(key, (0, 0))[0] and len(box) < MOST_IN_ENVELOPE:
-                    box += says
-                    self._note(key, now_us)
+        for kind, peer, job, says in self._says():
+            if not says or peer not in peers:
+                continue
+            key = (kind, peer, job)
+            box = out.setdefault(peer, [])
+            if now_us >= self._again.get(key, (0, 0))[0] and len(box) < MOST_IN_ENVELOPE:
+                box += says
+                self._note(key, now_us)
         return {peer: box for peer, box in out.items() if box}
 
     def back(self, peer: str) -> None:
@@ -357,7 +371,7 @@
     def overdue(self, wall_us: int) -> list[Entry]:
         """Reservations whose time is over."""
         out = []
-        for (peer, job), book in list(self.guest.items()):
+        for peer, job, book in self._guests():
             if book.loan.state == ho.RESERVED and wall_us - book.since_us >= self.reserve_us:
                 entry = self.act_as_guest(peer, job, (ho.reservation_over(book.loan), []))
                 if entry is not None:
--- a/pearstep/federation/carrying.py
+++ b/pearstep/federation/carrying.py
@@ -163,10 +163,10 @@
             if book.loan.state != ho.OFFERED:
                 self._watched[ref, book.loan.number] = book.peer
         # After a change of the lead, what ended a moment ago may not be whole.
-        for ref, book in self.loans.home.items():
-            job = self.view.jobs.get(ref)
-            if book.peer and book.loan.number and job is not None and job.state == QUEUED:
-                self._watched.setdefault((ref, book.loan.number), book.peer)
+        for ref, job in self.view.open.items():
+            lent = self.loans.home.get(ref)
+            if lent is not None and lent.peer and lent.loan.number and job.state == QUEUED:
+                self._watched.setdefault((ref, lent.loan.number), lent.peer)
         todo = [k for k in self._watched if k not in self._whole]
         for i in range(0, len(todo), AT_ONCE):
             await asyncio.gather(*(self._copy(*key) for key in todo[i : i + AT_ONCE]))
--- a/pearstep/federation/place.py
+++ b/pearstep/federation/place.py
@@ -28,7 +28,7 @@
 from .keys import Keys
 from .link import Envelope, Link, NotHere, Offer
 from .overflow import Grant, Room, choose
-from .reckon import Look, add, as_need, give_way, look, room, waiting
+from .reckon import Look, add, as_need, give_way, look, room, waiting, waiting_jobs
 from .replica import Loans
 from .settings import FederationSettings
 from .writes import borrowed_rec, guest_writes, home_writes, local_ref
@@ -60,7 +60,7 @@
         self._chief: Chief | None = None
         self._lent_us = -(1 << 60)
         self._offered: dict[str, int] = {}
-        self._starting: set[str] = set()
+        self._starting: set[tuple[str, str]] = set()
         self._renewing: dict[tuple[str, str], int] = {}
         self._listening = False
         self.facts = Facts()
@@ -96,7 +96,8 @@
                 chief.stamp, {}, int(self.settings.reserve_s * US), self.node.settings.lease_us,
                 int(self.settings.margin_s * US),
             )  # fmt: skip
-            books.share(self.loans.home, self.loans.guest)
+            loans = self.loans
+            books.share(loans.home, loans.guest, loans.open_home, loans.open_guest)
             self._chief = chief
             self._offered.clear()
             self.desk = Desk(
@@ -191,9 +192,8 @@
             job = self.view.jobs.get(local_ref(peer, ref, book.loan.number))
             rows.append(((peer, ref), book, job))
             if book.loan.state == ho.HOLDING and job is None:
-                name = f"{peer}/{ref}"
-                if name not in self._starting:
-                    self._starting.add(name)
+                if (peer, ref) not in self._starting:
+                    self._starting.add((peer, ref))
                     asyncio.ensure_future(self._begin(peer, ref))
             elif job is not None and (
                 (job.final and book.loan.state in (ho.HOLDING, ho.STOPPING))
@@ -248,7 +248,7 @@
             if self.loans.guest.get((peer, ref)) == book:
                 await chief.commit({job: rec}, {key: self.view.stamp(key), job: 0})
         finally:
-            self._starting.discard(f"{peer}/{ref}")
+            self._starting.discard((peer, ref))
 
     async def _ended(self, desk: Desk, peer: str, ref: str, book: GuestBook, job: Job) -> None:
         """The borrowed job is over: once nothing of it is anywhere, home is told."""
@@ -282,10 +282,11 @@
             return
         self._lent_us = now
         s = self.settings
+        refs = [job.spec.ref for job, _ in waiting_jobs(chief.leader)]
+        returned = {ref: self.loans.home[ref].returned for ref in refs if ref in self.loans.home}
         queue = waiting(
             chief.leader, self.node.settings.parts, self.node.settings.aims, int(s.leaving.aim_s * US),
-            int(s.leaving.wait_s * US), {r: b.returned for r, b in self.loans.home.items() if b.returned},
-            now, wall_us(),
+            int(s.leaving.wait_s * US), returned, now, wall_us(),
         )  # fmt: skip
         entries: list[Entry] = []
         for lend in choose(queue, rooms, self.policy, now):
--- a/pearstep/history/answers.py
+++ b/pearstep/history/answers.py
@@ -10,7 +10,7 @@
 from rbloom import Bloom
 
 from .blocks import Final, find, unpack
-from .tree import Root, block_key, bucket_of, where
+from .tree import Root, block_key, bucket_of, root_key, where
 
 # One id in so many that were never submitted costs a read for nothing.
 FALSE_RATE = 0.01
@@ -91,7 +91,7 @@
         bucket = bucket_of(number)
         mine = self._buckets.get(bucket)
         if mine is None:
-            return Absent(f"hr/{bucket}", 0)
+            return Absent(root_key(bucket), 0)
         for run, index in where(mine.root, number):
             bloom = mine.by_run.get(run)
             if bloom is not None and number not in bloom:
@@ -104,7 +104,7 @@
             found = find(entries, number)
             if found is not None:
                 return found
-        return Absent(f"hr/{bucket}", mine.stamp)
+        return Absent(root_key(bucket), mine.stamp)
 
     @property
     def filter_bytes(self) -> int:
--- a/pearstep/history/compaction.py
+++ b/pearstep/history/compaction.py
@@ -80,8 +80,8 @@
 
     # -- what to do next -------------------------------------------------------------------------
 
-    def begin(self, root: Root, jobs: Sequence[Settled]) -> bool:
-        """Take finished jobs in; those that the root is known to have are only cleared (see ``clear``)."""
+    def begin(self, jobs: Sequence[Settled]) -> bool:
+        """Take in finished jobs that the root does not have; the others are only cleared (see ``clear``)."""
         if self.state != IDLE or not jobs:
             return False
         self._clear = sorted(jobs, key=lambda job: job.final)
--- a/pearstep/worker/materials.py
+++ b/pearstep/worker/materials.py
@@ -13,8 +13,8 @@
 
 import structlog
 
-from ..archive.packs import BadPack, digest_of, size_of, unpack_folder
-from ..client.archive import ArchiveAway, ArchiveClient, key_of
+from ..archive.packs import BadPack, size_of, unpack_folder
+from ..client.archive import ArchiveClient, key_of
 from ..client.sets import Sets
 from ..jobs.description import Description
 
@@ -179,17 +179,13 @@
         target.mkdir(parents=True, exist_ok=True)
 
     def forget(self, job: str, task: int) -> None:
-        """A task's checkpoint is in the archive, or not needed."""
+        """What is left of a task's checkpoint here: it is in the archive, or not needed."""
         _remove(self.folder(job, task))
 
     async def _fetch(self, attempt: dict[str, Any], file: dict[str, Any], target: Path) -> int:
         pack = target.with_name(target.name + ".tar.part")
-        with open(pack, "wb") as out:
-            async for part in self.archive.blob(key_of(attempt), file["sha256"], file["size"]):
-                out.write(part)
         try:
-            if await asyncio.to_thread(digest_of, pack) != file["sha256"]:
-                raise ArchiveAway(f"{target.name}: the bytes that came do not have its digest")
+            await self.archive.save(key_of(attempt), file["sha256"], file["size"], pack)
             return await asyncio.to_thread(unpack_folder, pack, target)
         except BadPack as err:
             raise NoImage(str(err)) from None
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -286,7 +286,7 @@
             jobs = self.settled(bucket)
             prefix = f"hb/{bucket}/"
             one.clear([j for j in jobs if j.final.number in there]) or one.begin(
-                root, [j for j in jobs if j.final.number not in there][:2]
+                [j for j in jobs if j.final.number not in there][:2]
             ) or one.sweep(root, [k for k in self.store.keys if k.startswith(prefix)])
         step = one.step(root, self.store.stamp(root_key(bucket)))
         if step is None:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -44,7 +44,9 @@
         self.changed = []
         self.loans = Loans(self.view, self.changed.append)
         self.books = Books(7, {"huye": Grant(100, 100, 1000)}, 30 * S)
-        self.books.share(self.loans.home, self.loans.guest)
+        self.books.share(
+            self.loans.home, self.loans.guest, self.loans.open_home, self.loans.open_guest
+        )
 
     def write(self, writes):
         if writes is None:
