Finished jobs leave their records while nodes answer for them (not switched on)

Cause: a finished job costs every controller 1.3 KB and the state service two to four keys, for ever.

Change: pearstep/compacting/: a node's reader (roots and blocks followed, filters, shared block reads, questions beyond 32 waiting told to come back), which jobs may leave their records, what a compactor does next (pure), and who compacts: a node under the key `compactor`, which takes a new stamp whenever the end of a transaction is not known, so that nothing of it can still be applied. Acceptances are conditional on the root in which the id was not found. The view forgets jobs whose records went, and skips changes that it has read already: a late put could bring a deleted key back. Owners forget such jobs. A start reads keys up to the blocks, which sort last.

Measured: tests/test_compacting.py plays nodes' real code over a state service in memory (lost, late, refused answers, restarts, lost leases, short change logs) against a reference; without the condition on the root a job is accepted twice, without a new stamp a root names swept blocks, both shown by tests.

--- a/measurements/history.py
+++ b/measurements/history.py
@@ -62,7 +62,7 @@
         """All entries of a run."""
         out = []
         for i in range(count):
-            out += unpack(self.blocks[f"hb/{bucket}/{run}/{i}"])
+            out += unpack(self.blocks[f"zb/{bucket}/{run}/{i}"])
         return out
 
 
--- a/pearstep/cli/node.py
+++ b/pearstep/cli/node.py
@@ -11,7 +11,7 @@
 import click
 
 from .. import __version__
-from ..node.extension import Extension
+from ..node.extension import Extension, Several
 from ..node.settings import Settings, SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -27,9 +27,15 @@
     "--federation", "federation", metavar="FILE", default=None,
     help="Lend to peers and borrow from them by these settings (YAML); also PEARSTEP_FEDERATION.",
 )  # fmt: skip
+@click.option(
+    "--history", "history", metavar="FILE", default=None,
+    help="Let finished jobs leave their records, by these settings (YAML); also PEARSTEP_HISTORY.",
+)  # fmt: skip
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.version_option(__version__, prog_name="pearstep")
-def main(config: str, tuning: str | None, federation: str | None, check: bool) -> None:
+def main(
+    config: str, tuning: str | None, federation: str | None, history: str | None, check: bool
+) -> None:
     """Run a pearstep controller node until it is killed.
 
     LOG_LEVEL (error, info or debug) says how much is logged to standard error.
@@ -47,13 +53,33 @@
         level=LEVELS[level], stream=sys.stderr, format="%(levelname).1s %(name)s: %(message)s"
     )
     logging.getLogger("asyncio").setLevel(logging.WARNING)
-    extension = _federation(federation or os.environ.get("PEARSTEP_FEDERATION"), settings)
+    found = [
+        _history(history or os.environ.get("PEARSTEP_HISTORY")),
+        _federation(federation or os.environ.get("PEARSTEP_FEDERATION"), settings),
+    ]
+    each = [extension for extension in found if extension is not None]
+    extension = Several(each) if each else None
     if check:
         click.echo("settings are valid")
         return
     _run(settings, extension)
 
 
+def _history(file: str | None) -> Extension | None:
+    """Finished jobs in blocks, if that is configured."""
+    if not file:
+        return None
+    from ..compacting.place import Compacting
+    from ..compacting.settings import HistoryError
+    from ..compacting.settings import load as load_history
+
+    try:
+        return Compacting(load_history(file))
+    except HistoryError as err:
+        click.echo(f"pearstep: {err}", err=True)
+        sys.exit(2)
+
+
 def _federation(file: str | None, settings: Settings) -> Extension | None:
     """Lending, if it is configured; a node without it imports nothing of it."""
     if not file:
--- a/pearstep/core/part.py
+++ b/pearstep/core/part.py
@@ -61,6 +61,20 @@
         for job in self.view.open.values():
             self._look_for_end(job, now_us)
 
+    def _forget_job(self, ref: str) -> None:
+        """A finished job has left its records. Nothing of it was anywhere by them; what is remembered here
+        all the same was never written, or its end was not: a machine that still reports it is told to stop
+        it, as with any task that nobody knows."""
+        for key in [key for key in self.recs if key[0] == ref]:
+            for a in self.recs.pop(key).attempts.values():
+                if (m := self.machines.get(a.machine)) is not None:
+                    m.attempts.pop((a.name, a.number), None)
+                    self.walk_due = True
+        self.gangs.pop(ref, None)
+        self.finish.pop(ref, None)
+        self.yielded.pop(ref, None)
+        self.troubles.forget(ref)
+
     def _look_for_end(self, job: Job, now_us: int) -> None:
         """End a job that is complete by its records: the lowest of its parts does, and if that is gone, each
         other a second later."""
@@ -84,7 +98,10 @@
     def _reload(self, rec: Placements, now_us: int, wall_us: int) -> None:
         """Go back to what is committed. Whatever was decided but not written is decided again."""
         before = list(rec.attempts.values())
-        job = self.view.jobs[rec.spec.ref]
+        job = self.view.jobs.get(rec.spec.ref)
+        if job is None:
+            self._forget_job(rec.spec.ref)
+            return
         # Seen: a gang's end went with a commit that was refused; the gang, complete already, was
         # running again by the records, and every step of the owner failed from then on.
         self.gangs.pop(rec.spec.ref, None)
@@ -114,9 +131,12 @@
     def job_changed(self, ref: str, now_us: int, wall_us: int, by_owner: bool = False) -> None:
         """Records of a job have changed in the view; ``by_owner``: a placement record."""
         job = self.view.jobs.get(ref)
-        if job is None or (self.part not in job.routes and (ref, 0) not in self.recs and not any(
+        if job is None:
+            self._forget_job(ref)
+            return
+        if self.part not in job.routes and (ref, 0) not in self.recs and not any(
             part == self.part for part, _ in job.places
-        )):  # fmt: skip
+        ):  # fmt: skip
             return  # another part's work: with many parts that is most of what changes
         # Placements are written by owners alone: ours were walked over when they were decided.
         self.walk_due |= not by_owner
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -8,6 +8,8 @@
 ``d/<machine>``           the machine is to be emptied and deleted; the leader or its owner writes it.
 ``h/<name>``              a rental request, written before it is sent; the leader writes it.
 ``layout``                how machines are dealt to parts; the leader writes it once.
+``hr/<bucket>``, ``zb/``  finished jobs that have left their records (``history``), and ``compactor``, whoever
+                          moves them. Blocks sort last: a node that starts reads everything before them.
 ``part/<n>``, ``leader``  who holds a part or the lead; the stamp is the holder's token.
 """
 
@@ -20,6 +22,9 @@
 CHUNK = 16_384
 # What a node understands. 1: layouts of parts within zones.
 VERSION = 1
+# 2: finished jobs that have left their records, in a node that reads them.
+HISTORY_VERSION = 2
+ROOTS, BLOCKS = "hr/", "zb/"
 
 QUEUED, DONE, CANCELLED = "queued", "done", "cancelled"
 
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -13,7 +13,9 @@
 from .job import Job, Placed, Route
 from .model import from_ranges
 from .records import (
+    BLOCKS,
     QUEUED,
+    ROOTS,
     DrainRec,
     HireRec,
     HolderRec,
@@ -24,6 +26,8 @@
     PlaceRec,
     RouteRec,
     decode,
+    place_key,
+    route_key,
 )
 
 # Kinds of keys that ``federation`` writes.
@@ -62,6 +66,9 @@
         self.others: dict[str, Callable[[str, int, bytes | None], None]] = {}
         # Loans of jobs are kept here, and nothing in this process reads them: what they forbid is not known.
         self.unread_loans = False
+        # Finished jobs have left their records, and nothing in this process reads where they are: of an id
+        # without a record nothing is known.
+        self.unread_history = False
         # What the records place on each machine, and the machines whose records have changed since the
         # leader last looked: with hundreds of machines it must not count them all anew each time.
         self.on: dict[str, dict[tuple[str, int], Place]] = {}
@@ -82,6 +89,7 @@
             return True
         if rec is None:
             self.unread_loans |= key.startswith(LOANS)
+            self.unread_history |= key.startswith((ROOTS, BLOCKS))
             if key not in self.unreadable and len(self.unreadable) < 100:
                 self.unreadable.append(key)
             return False
@@ -96,7 +104,11 @@
             return False
         del self.stamps[key]
         kind, *path = key.split("/")
-        if kind == "r" and (job := self.jobs.get(path[1])):
+        if kind in ("r", "p") and path[1] not in self.jobs:
+            self._drop_orphan(path[1], key)
+        elif kind == "j":
+            self._forget(path[0])
+        elif kind == "r" and (job := self.jobs.get(path[1])):
             job.routes.pop(int(path[0]), None)
             job.recount()
         elif kind == "p" and (job := self.jobs.get(path[1])):
@@ -119,6 +131,25 @@
             self.others[kind](key.partition("/")[2], stamp, None)
         return True
 
+    def _forget(self, ref: str) -> None:
+        """A finished job has left its record: whoever is asked for it looks into the history."""
+        job = self.jobs.pop(ref, None)
+        self.open.pop(ref, None)
+        if job is None:
+            return
+        # What is still there was written when the job's records went, and is left behind.
+        for part, route in job.routes.items():
+            if route.stamp:
+                self._keep(ref, route_key(part, ref), route.stamp, route.rec)
+        for (part, chunk), placed in job.places.items():
+            self._count_places(job, placed, None)
+            self._keep(ref, place_key(part, ref, chunk), placed.stamp, placed.rec)
+
+    def _drop_orphan(self, ref: str, key: str) -> None:
+        kept = [late for late in self.orphans.pop(ref, ()) if late[0] != key]
+        if kept:
+            self.orphans[ref] = kept
+
     def _apply(self, key: str, stamp: int, rec: object, now_us: int) -> None:
         _, *path = key.split("/")
         if isinstance(rec, JobRec):
--- a/pearstep/history/answers.py
+++ b/pearstep/history/answers.py
@@ -69,6 +69,11 @@
             for run in mine.root.runs if run.name not in mine.by_run for i in range(len(run.firsts))
         ]  # fmt: skip
 
+    def filled(self, bucket: int, run: str) -> bool:
+        """Whether a run has its filter."""
+        mine = self._buckets.get(bucket)
+        return mine is not None and run in mine.by_run
+
     def fill(self, bucket: int, run: str, entries: Iterable[Final]) -> None:
         """All ids of a run: it has a filter from now on."""
         mine = self._buckets[bucket]
--- a/pearstep/history/tree.py
+++ b/pearstep/history/tree.py
@@ -15,10 +15,14 @@
 import msgspec
 import xxhash
 
+from ..core.records import BLOCKS, ROOTS
 from .blocks import Final
 
 BUCKETS = 16
 FANOUT = 8
+# Runs are not made larger than this: whoever makes one, or fills a filter with one, does it in one go, some
+# 0.15 s, and a controller must not stand still for longer.
+MOST_RUN = 40_000
 
 
 class Run(msgspec.Struct, frozen=True, array_like=True):
@@ -45,12 +49,12 @@
 
 def root_key(bucket: int) -> str:
     """The key of a bucket's root."""
-    return f"hr/{bucket}"
+    return f"{ROOTS}{bucket}"
 
 
 def block_key(bucket: int, run: str, index: int) -> str:
     """The key of a block."""
-    return f"hb/{bucket}/{run}/{index}"
+    return f"{BLOCKS}{bucket}/{run}/{index}"
 
 
 def where(root: Root, number: int) -> list[tuple[str, int]]:
@@ -69,13 +73,15 @@
 
 
 def due(root: Root) -> tuple[Run, ...]:
-    """The runs that should become one: the eight oldest of the lowest level that has so many."""
+    """The runs that should become one: the eight oldest of the lowest level that has so many, unless that
+    would make too large a run."""
     levels: dict[int, list[Run]] = {}
     for run in root.runs:
         levels.setdefault(run.level, []).append(run)
     for level in sorted(levels):
-        if len(levels[level]) >= FANOUT:
-            return tuple(levels[level][:FANOUT])
+        eight = tuple(levels[level][:FANOUT])
+        if len(eight) == FANOUT and sum(run.count for run in eight) <= MOST_RUN:
+            return eight
     return ()
 
 
--- a/pearstep/links/budget.py
+++ b/pearstep/links/budget.py
@@ -41,6 +41,12 @@
         self.level -= amount
         return True
 
+    def spare(self, amount: float) -> bool:
+        """Whether nobody waits, and half of a full bucket is left for whoever comes next if so much is taken.
+        What is more than half is never spare, but a full bucket is enough for anything."""
+        self._refill()
+        return not self._waiting and (self.level - amount >= self.burst / 2 or self.level >= self.burst)
+
     def drain(self) -> None:
         """The neighbour says that the budget is used up."""
         self._refill()
--- a/pearstep/links/store.py
+++ b/pearstep/links/store.py
@@ -17,6 +17,7 @@
 log = logging.getLogger("pearstep.store")
 
 _txn_answer = msgspec.json.Decoder(wire.TxnAnswer)
+_pair = msgspec.json.Decoder(wire.Pair)
 _listing = msgspec.json.Decoder(wire.Listing)
 _changes = msgspec.json.Decoder(wire.Changes)
 _granted = msgspec.json.Decoder(wire.Granted)
@@ -129,27 +130,47 @@
         status, _ = await self._ask("POST", f"{wire.LEASES}/{lease}/{wire.RENEW}", urgency=URGENT)
         return True if status == 200 else False if status == 404 else None
 
-    async def list_all(self, prefix: str = "") -> tuple[list[wire.Pair], int] | None:
-        """All keys with a prefix, page by page, and the revision of the first page: changes after it may or
-        may not be in later pages, and are read again afterwards."""
+    async def list_all(self, prefix: str = "", upto: str = "") -> tuple[list[wire.Pair], int] | None:
+        """All keys with a prefix, page by page, at least those before ``upto``, and the revision of the first
+        page: changes after it may or may not be in later pages, and are read again afterwards."""
         pairs: list[wire.Pair] = []
         after: str | None = None
         revision: int | None = None
         while True:
-            path = wire.list_query(prefix, after, 1000)
-            status, data = await self._ask("GET", path, urgency=URGENT, timeout_s=5)
-            if status != 200:
+            page = await self.page(prefix, after, URGENT)
+            if page is None:
                 return None
-            try:
-                page = _listing.decode(data)
-            except msgspec.MsgspecError:
-                return None
-            pairs.extend(page.items)
             if revision is None:
                 revision = page.revision
-            if not page.more or not page.items:
+            last = page.items[-1].key if page.items else ""
+            past = bool(upto) and last >= upto
+            pairs.extend(page.items if not past else (i for i in page.items if i.key < upto))
+            if not page.more or not page.items or past:
                 return pairs, revision
-            after = page.items[-1].key
+            after = last
+
+    async def page(self, prefix: str, after: str | None, urgency: int = IDLE) -> wire.Listing | None:
+        """One page of the keys with a prefix, beginning after one; None if there is no answer."""
+        path = wire.list_query(prefix, after, 1000)
+        status, data = await self._ask("GET", path, urgency=urgency, timeout_s=5)
+        try:
+            return _listing.decode(data) if status == 200 else None
+        except msgspec.MsgspecError:
+            return None
+
+    async def read(self, key: str, urgency: int = URGENT) -> wire.Pair | bool:
+        """One key: False if it does not exist, True if there is no answer now."""
+        status, data = await self._ask("GET", f"{wire.KV}/{key}", urgency=urgency, timeout_s=1.5)
+        if status != 200:
+            return status != 404
+        try:
+            return _pair.decode(data)
+        except msgspec.MsgspecError:
+            return True
+
+    def spare(self, changes: int) -> bool:
+        """Whether so many changes may be written now without anything else having to wait for them."""
+        return self._writes.spare(changes)
 
     async def changes(self, after: int, wait_ms: int, urgency: int = IDLE) -> wire.Changes | int:
         """The changes after a revision, or the status if there are none to be had."""
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -40,6 +40,7 @@
     def __init__(self, settings: Settings, extension: Extension | None = None) -> None:
         self.settings = settings
         self.extension = extension
+        self._told = False
         self.node = settings.node
         limits = settings.params
         ends = settings.platform.endpoints
@@ -104,7 +105,7 @@
         if path == wire.READY:
             if request.method != "GET":
                 return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
-            ready = self.follower.loaded and bool(self.types) and self.watch.reach.serves(now_us())
+            ready = self._may_answer() and self.watch.reach.serves(now_us())
             return (200 if ready else 503), msgspec.json.encode({"ready": ready}), {}
         return self._answer_user(request)
 
@@ -142,7 +143,15 @@
 
     def _sync_ready(self) -> None:
         self.users.types = self.types
-        self.users.ready = self.follower.loaded and bool(self.types)
+        self.users.ready = self._may_answer()
+
+    def _may_answer(self) -> bool:
+        """Whether users can be answered: what is there is known, and where finished jobs have left their
+        records this node knows of them."""
+        if self.view.unread_history and not self._told:
+            log.error("finished jobs of this cluster are kept in blocks: start this node with --history FILE")
+            self._told = True
+        return self.follower.loaded and bool(self.types) and not self.view.unread_history
 
     def _holders_changed(self) -> None:
         self._sync_ready()
--- a/pearstep/node/following.py
+++ b/pearstep/node/following.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..core.model import US
+from ..core.records import BLOCKS
 from ..core.view import View
 from ..links.clocks import now_us
 from ..links.store import Store
@@ -31,6 +32,8 @@
         self.store = store
         self.view = view
         self.loaded = False
+        # How often everything was read.
+        self.loads = 0
         self._pause_s = leading.follow_ms / 1000
         self._refresh_s = leading.refresh_ms / 1000
         self._on_change = on_change
@@ -41,7 +44,8 @@
 
     async def load(self) -> bool:
         """Read everything anew."""
-        listing = await self.store.list_all()
+        # Blocks of finished jobs come last, and nothing waits for them.
+        listing = await self.store.list_all(upto=BLOCKS)
         if listing is None:
             return False
         pairs, revision = listing
@@ -49,14 +53,15 @@
         for pair in pairs:
             listed.add(pair.key)
             self._put(pair.key, pair.version, bytes(pair.value))
-        for key in [k for k in self.view.stamps if k not in listed]:
-            if self.view.stamps[key] <= revision:
-                self.view.delete(key, revision + 1)
+        for key in [k for k in self.view.stamps if k not in listed and not k.startswith(BLOCKS)]:
+            if self.view.stamps[key] <= revision and self.view.delete(key, revision + 1):
+                self._on_change(key, False)
         self.view.revision = max(self.view.revision, revision)
         if not self.loaded:
             log.info("loaded %d keys at revision %d, %d open jobs", len(pairs), revision,
                      len(self.view.open))
         self.loaded = True
+        self.loads += 1
         self._on_holders()
         return True
 
@@ -83,7 +88,12 @@
     def apply_changes(self, changes: wire.Changes) -> None:
         """Take in what has changed."""
         touched = False
+        known = self.view.revision
         for event in changes.events:
+            if event.version <= known:
+                # Answers overlap. A put that was read before its key's deletion and comes after it would
+                # bring the key back: a job that has left its record, or a placement that is over.
+                continue
             if event.put is not None:
                 touched |= self._put(event.put, event.version, bytes(event.value))
             elif event.delete is not None and self.view.delete(event.delete, event.version):
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -46,6 +46,8 @@
         self.watch = watch
         self.reach = watch.reach
         self.chief: Chief | None = None
+        # What this node understands, for the others to see.
+        self.version = VERSION
         self.lease: int | None = None
         self.part_gone: dict[int, int] = {}
         self._settling = False
@@ -202,7 +204,7 @@
             return
         lease = self.lease
         outcome = await self.store.txn(
-            {key: self.view.stamp(key)}, {key: (HolderRec(self.node, VERSION), lease)}, urgency=0
+            {key: self.view.stamp(key)}, {key: (HolderRec(self.node, self.version), lease)}, urgency=0
         )
         if outcome.state == NO_LEASE:
             self._lost_lease()
--- a/pearstep/node/users.py
+++ b/pearstep/node/users.py
@@ -18,11 +18,24 @@
 from ..links.http import Answer
 from ..links.store import COMMITTED, CONFLICT, Outcome, Store
 from ..wire import node as wire
+from .extension import Ended, Past
 
 log = logging.getLogger("pearstep.users")
 
 # Transactions with submissions that may be under way at the same time.
 FLUSHES = 4
+# How often a submission is looked up anew because the history was written to meanwhile.
+LOOKS = 4
+STALE = "stale"
+
+
+class _Waiting:
+    """A submission that waits for a transaction. ``conditions``: under which it is known to be new."""
+
+    def __init__(self, spec: Spec, conditions: dict[str, int], future: asyncio.Future[str]) -> None:
+        self.spec = spec
+        self.conditions = conditions
+        self.future = future
 
 
 def never_runs(spec: Spec, teams: dict[str, Team], types: dict[str, MachineType]) -> str | None:
@@ -57,9 +70,11 @@
         self._wall_us = wall_us
         self.home: int | None = None
         self.cancelling: Callable[[Job], Awaitable[dict[str, int] | None]] | None = None
+        # Of jobs that have left their records.
+        self.past: Past | None = None
         self._retry = {"Retry-After": str(retry_after_s)}
         self._most = txn_ops
-        self._queue: list[tuple[Spec, asyncio.Future[str]]] = []
+        self._queue: list[_Waiting] = []
         self._flushes = 0
 
     def part_for(self, spec: Spec) -> int | None:
@@ -95,7 +110,9 @@
             return await self.cancel(ref)
         return None
 
-    def _known(self, status: int, job: Job) -> Answer:
+    def _known(self, status: int, job: Job | Ended) -> Answer:
+        if isinstance(job, Ended):
+            return status, wire.job_answer(job.ref, job.state, job.done, 0), {}
         ref = job.spec.ref
         if job.final:
             stage = job.state
@@ -105,7 +122,7 @@
         stage = "running" if running else "queued"
         return status, wire.job_answer(ref, stage, job.done.bit_count(), running.bit_count()), {}
 
-    async def _look(self, ref: str) -> Job | None | bool:
+    async def _look(self, ref: str) -> Job | Ended | None | bool:
         """The job by a view that is fresh enough to be told; False if there is no such view now.
         Final states never change and may be told from memory."""
         job = self.view.jobs.get(ref)
@@ -115,7 +132,17 @@
         # end well, until their users gave up on them.
         if not self.ready or self.store.away() or not await self._fresh():
             return False
-        return self.view.jobs.get(ref)
+        if ref in self.view.jobs:
+            return self.view.jobs[ref]
+        found = await self._ask_past(ref)
+        return found if isinstance(found, Ended) else None if found is not None else False
+
+    async def _ask_past(self, ref: str) -> Ended | dict[str, int] | None:
+        """What is known of an id that has no record: how it ended, or the conditions under which it is new;
+        None if that can't be told now."""
+        if self.past is not None:
+            return await self.past.ask(ref)
+        return None if self.view.unread_history else {}
 
     async def poll(self, ref: str) -> Answer:
         """GET of a job."""
@@ -136,7 +163,9 @@
             return 400, wire.error_answer(str(err)), {}
         if ref in self.view.jobs:
             job = await self._look(ref)
-            return self._known(200, job) if isinstance(job, Job) else self.away("state not known now")
+            if isinstance(job, Job | Ended):
+                return self._known(200, job)
+            return self.away("state not known now")
         try:
             spec = wire.read_submission(body)
             why = None
@@ -150,7 +179,7 @@
         if why is not None:
             # Another node may have accepted the id: its repeat is never refused.
             job = await self._look(ref)
-            if isinstance(job, Job):
+            if isinstance(job, Job | Ended):
                 return self._known(200, job)
             if job is False and self.ready:
                 return self.away("state not known now")
@@ -158,19 +187,30 @@
         assert spec is not None
         if self.store.away():
             return self.away("state service is away")
-        verdict = await self._accept(spec)
+        verdict = STALE
+        for again in range(LOOKS):
+            if again and not await self._fresh():
+                break
+            found = await self._ask_past(ref)
+            if isinstance(found, Ended):
+                return self._known(200, found)
+            if found is None:
+                return self.away("state not known now")
+            verdict = await self._accept(spec, found)
+            if verdict != STALE:
+                break
         if verdict == COMMITTED:
             log.debug("accepted %s %s tasks %d priority %d", ref, spec.cls, spec.tasks, spec.priority)
             return 201, wire.job_answer(ref, "queued"), {}
         if verdict == CONFLICT:
             job = await self._look(ref)
-            if isinstance(job, Job):
+            if isinstance(job, Job | Ended):
                 return self._known(200, job)
         return self.away("state service is away")
 
-    async def _accept(self, spec: Spec) -> str:
+    async def _accept(self, spec: Spec, conditions: dict[str, int]) -> str:
         future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self._queue.append((spec, future))
+        self._queue.append(_Waiting(spec, conditions, future))
         if self._flushes < FLUSHES:
             self._flushes += 1
             asyncio.ensure_future(self._flush())
@@ -182,13 +222,19 @@
         try:
             while self._queue:
                 group, self._queue = self._queue[: self._most], self._queue[self._most :]
-                group = [(s, f) for s, f in group if not f.done()]
+                group = [one for one in group if self._still_new(one)]
                 recs = {
-                    f"j/{s.ref}": JobRec(s, self._wall_us(), part=self.part_for(s)) for s, _ in group
+                    f"j/{one.spec.ref}": JobRec(one.spec, self._wall_us(), part=self.part_for(one.spec))
+                    for one in group
                 }
+                conditions = dict.fromkeys(recs, 0)
+                for one in group:
+                    conditions.update(one.conditions)
+                if not recs:
+                    continue
                 try:
                     outcome = await self.store.txn(
-                        dict.fromkeys(recs, 0), {k: (v, None) for k, v in recs.items()}, urgency=URGENT
+                        conditions, {k: (v, None) for k, v in recs.items()}, urgency=URGENT
                     )
                 except Exception:
                     log.exception("submission failed")
@@ -196,14 +242,29 @@
                 if outcome.state == COMMITTED:
                     for key, rec in recs.items():
                         self._apply(key, outcome.revision, rec)
-                for spec, future in group:
-                    if outcome.state == CONFLICT and f"j/{spec.ref}" not in outcome.failed and outcome.failed:
-                        self._queue.append((spec, future))
-                    elif not future.done():
-                        future.set_result(outcome.state)
+                failed = set(outcome.failed)
+                for one in group:
+                    if outcome.state != CONFLICT or f"j/{one.spec.ref}" in failed or not failed:
+                        self._settle(one, outcome.state)
+                    elif failed & one.conditions.keys():
+                        self._settle(one, STALE)
+                    else:
+                        self._queue.append(one)
         finally:
             self._flushes -= 1
 
+    def _still_new(self, one: _Waiting) -> bool:
+        """Whether somebody waits for it, and nothing was written meanwhile where it was not found: with one
+        that looked before, and one that looked after, a transaction could meet the conditions of neither."""
+        if any(self.view.stamp(key) > stamp for key, stamp in one.conditions.items()):
+            self._settle(one, STALE)
+        return not one.future.done()
+
+    @staticmethod
+    def _settle(one: _Waiting, verdict: str) -> None:
+        if not one.future.done():
+            one.future.set_result(verdict)
+
     async def cancel(self, ref: str) -> Answer:
         """POST of a cancellation; a race with the job's end is decided by the transaction."""
         for _ in range(4):
@@ -212,7 +273,7 @@
                 return self.away("state not known now")
             if job is None:
                 return 404, wire.error_answer("no such job"), {}
-            if job.final:
+            if isinstance(job, Ended) or job.final:
                 return 200, wire.job_answer(ref, job.state), {}
             key = f"j/{ref}"
             conditions = {key: job.stamp}
--- /dev/null
+++ b/tests/test_compacting.py
@@ -0,0 +1,523 @@
+"""Finished jobs leave their records while nodes answer: the nodes' real code over a state service in memory,
+whose answers are lost, late or refused, with nodes that start anew, lose their lease, or find the change log
+too short, against a reference that keeps everything."""
+
+import asyncio
+import contextlib
+import random
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pearstep.compacting import place as place_module
+from pearstep.compacting.place import Compacting, may_begin
+from pearstep.compacting.settings import HistoryError, HistorySettings, load
+from pearstep.compacting.settled import all_settled, settled
+from pearstep.core.model import US, Team
+from pearstep.core.records import DONE, HolderRec, JobRec, Place, PlaceRec, RouteRec
+from pearstep.core.view import View
+from pearstep.history import blocks, tree
+from pearstep.links.store import COMMITTED, CONFLICT, NO_LEASE, REFUSED, UNKNOWN, Outcome
+from pearstep.node.following import Follower
+from pearstep.node.settings import Leading
+from pearstep.node.users import Users
+from pearstep.standin.keys import Keys, NoLease
+from pearstep.wire import node as wire
+from pearstep.wire.standin import read_txn
+
+from .test_formats import GOOD
+from .world import TYPES, spec
+
+DAY_US = 10**12
+PARTS = 2
+JOB = {**GOOD, "shape": "batch", "parcels": 2, "breeds": None, "holder": "t", "memoryGb": 8.0}
+
+
+class World:
+    """The state service; ``late`` transactions were sent and may be applied at any later time."""
+
+    def __init__(self):
+        self.keys = Keys()
+        self.late = []
+        self.now = US
+        self.accepted = set()
+        self.final = {}
+
+    def apply(self, body):
+        before = {k for k in self.keys.keys if k.startswith("j/")}
+        txn = read_txn(body)
+        assert len(txn.ops) <= 16 and len(txn.conditions) <= 64
+        try:
+            found = self.keys.txn(txn)
+        except NoLease:
+            return Outcome(NO_LEASE)
+        if isinstance(found, list):
+            return Outcome(CONFLICT, self.keys.revision, found)
+        for key in {k for k in self.keys.keys if k.startswith("j/")} - before:
+            assert key[2:] not in self.accepted, f"{key[2:]} was accepted twice"
+            self.accepted.add(key[2:])
+        return Outcome(COMMITTED, found)
+
+    def deliver(self, pick):
+        if self.late:
+            self.apply(self.late.pop(pick % len(self.late)))
+
+
+class Store:
+    """One node's way to it. ``mode`` is what becomes of the next transaction."""
+
+    def __init__(self, world):
+        self.world = world
+        self.refused_since = None
+        self.mode = "ok"
+        self.too_old = False
+        self.reads = 0
+
+    async def txn(self, conditions, puts, deletes=None, urgency=1):
+        mode, self.mode = self.mode, "ok"
+        body = wire.txn_body(conditions, puts, deletes or [])
+        if mode == "refused":
+            return Outcome(REFUSED)
+        if mode == "late":
+            self.world.late.append(body)
+            return Outcome(UNKNOWN)
+        outcome = self.world.apply(body)
+        return Outcome(UNKNOWN) if mode == "lost" else outcome
+
+    async def changes(self, after, wait_ms, urgency=1):
+        log = self.world.keys.changes("", after)
+        if self.too_old or log is None:
+            self.too_old = False
+            return 410
+        events = [
+            wire.Change(v, delete=k) if raw is None else wire.Change(v, put=k, value=msgspec.Raw(raw))
+            for v, k, raw in log
+        ]  # fmt: skip
+        return wire.Changes(self.world.keys.revision, events)
+
+    async def page(self, prefix, after, urgency=1):
+        found, more = self.world.keys.page(prefix, after or "", 3)
+        pairs = [wire.Pair(k, msgspec.Raw(raw), v) for k, v, raw, _ in found]
+        return wire.Listing(pairs, self.world.keys.revision, more)
+
+    async def list_all(self, prefix="", upto=""):
+        keys = self.world.keys
+        pairs = [wire.Pair(k, msgspec.Raw(raw), v) for k, (v, raw, _) in keys.keys.items() if k < upto]
+        return pairs, keys.revision
+
+    async def read(self, key, urgency=1):
+        self.reads += 1
+        await asyncio.sleep(0)
+        found = self.world.keys.keys.get(key)
+        return wire.Pair(key, msgspec.Raw(found[1]), found[0]) if found else False
+
+    def away(self):
+        return False
+
+    def spare(self, changes):
+        return True
+
+
+class Node:
+    """What a controller has of this: its view, its users, and its place among those who compact."""
+
+    def __init__(self, world, name, keep=1):
+        self.node, self.world = name, world
+        self.store, self.view = Store(world), View()
+        self.follower = Follower(
+            self.store, self.view, Leading(refresh_ms=0.001), lambda key, known: None, lambda: None
+        )
+        self.users = Users(
+            self.store, self.view, {"t": Team("t")}, self.follower.fresh, self.follower.applied, lambda: 1, 1,
+            12,
+        )  # fmt: skip
+        self.users.types, self.users.ready = TYPES, True
+        self.holding = SimpleNamespace(lease=None, awake=lambda: True, chief=None, version=1)
+        state = SimpleNamespace(write_rps=20.0, txn_ops=16, value_kb=0.1)
+        self.settings = SimpleNamespace(parts=PARTS, params=SimpleNamespace(state=state), txn_ops=6)
+        self.compacting = Compacting(HistorySettings(rest_s=1, keep=keep, batch=1, step_s=1e-9))
+        self.compacting.attach(self)
+        self.lease()
+
+    def lease(self):
+        self.holding.lease = self.world.keys.grant(10**15, 0)
+
+    def lose_lease(self):
+        self.world.keys.end(self.holding.lease)
+        self.lease()
+
+    async def read(self):
+        while await self.compacting.reader.catch_up(self.follower.loads):
+            pass
+
+    async def start(self):
+        assert await self.follower.load()
+        return self
+
+
+def held(world):
+    """All parts are held by nodes that understand this."""
+    for part in range(PARTS):
+        raw = msgspec.json.encode(HolderRec(f"n{part}", 2))
+        world.keys.revision += 1
+        world.keys._apply(f"part/{part}", raw, None)
+
+
+async def stage(node, ref):
+    status, body, _ = await node.users.poll(ref)
+    return status, msgspec.json.decode(body)
+
+
+async def check(world, nodes, refs):
+    for node in nodes:
+        for ref in refs:
+            status, said = await stage(node, ref)
+            if ref not in world.accepted:
+                assert status == 404, f"{ref} was invented: {said}"
+            else:
+                assert status == 200, f"{ref} was forgotten"
+                want, done = world.final.get(ref, ("queued", 0))
+                assert (said["stage"], said["done"]) == (wire.STAGE_OUT[want], done)
+
+
+def write(world, conditions, puts):
+    outcome = world.apply(wire.txn_body(conditions, {k: (v, None) for k, v in puts.items()}, []))
+    assert outcome.state == COMMITTED
+
+
+def finish(world, ref, cancelled):
+    """Its tasks are done, or a user cancels it with one of them done."""
+    found = world.keys.keys.get(f"j/{ref}")
+    if found is None or ref in world.final:
+        return
+    rec = msgspec.json.decode(found[1], type=JobRec)
+    state, done = ("cancelled", 1) if cancelled else (DONE, rec.spec.tasks)
+    over = JobRec(rec.spec, rec.at_us, state, 5)
+    puts = {f"j/{ref}": over, f"r/0/{ref}": RouteRec("0-1"),
+            f"p/0/{ref}/0": PlaceRec({}, "1" if cancelled else "3")}  # fmt: skip
+    write(world, {f"j/{ref}": found[0]}, puts)
+    world.final[ref] = (state, done)
+
+
+REFS = [f"req-{n}" for n in (3, 44, 500, 6001, 70002, 800003)]
+KINDS = ["submit", "submit", "finish", "finish", "deliver", "restart", "lease", "gap", "late route"]
+KINDS += ["compact"] * 14
+MODES = ["ok", "ok", "ok", "ok", "lost", "late", "refused"]
+
+
+def events_of(seed, count=100):
+    """Drawn by a seed: lists drawn one by one stay too short for a compaction to come to its end."""
+    rng = random.Random(seed)
+    return [
+        (rng.choice(KINDS), rng.randrange(12), rng.choice(MODES), rng.random() < 0.5) for _ in range(count)
+    ]
+
+
+async def play(world, events, node_type=Node):
+    nodes = [await node_type(world, f"n{i}").start() for i in range(2)]
+    for node in nodes:
+        await node.read()
+    for what, pick, mode, flag in events:
+        world.now += 6 * US
+        node, ref = nodes[flag], REFS[pick % len(REFS)]
+        if what == "submit":
+            node.store.mode = mode
+            status, _, _ = await node.users.submit(msgspec.json.encode({**JOB, "ref": ref}))
+            node.store.mode = "ok"
+            assert status in (200, 201, 503)
+            assert status == 503 or ref in world.accepted
+        elif what == "finish":
+            finish(world, ref, pick > 8)
+        elif what == "deliver":
+            world.deliver(pick)
+        elif what == "restart":
+            nodes[flag] = await node_type(world, node.node).start()
+            if pick > 5:
+                await nodes[flag].read()
+        elif what == "lease":
+            node.lose_lease()
+        elif what == "gap":
+            node.store.too_old = True
+        elif what == "late route" and ref in world.final:
+            # The leader had it on its way when the job ended; its own conditions are all that it has.
+            raw = wire.txn_body({f"r/1/{ref}": 0}, {f"r/1/{ref}": (RouteRec("1"), None)}, [])
+            world.late.append(raw)
+        else:
+            for _ in range(1 + pick // 4):
+                node.store.mode = mode
+                await node.compacting.step()
+                node.store.mode = "ok"
+                world.now += 6 * US
+            await node.read()
+        await check(world, nodes, REFS)
+    return nodes
+
+
+@contextlib.contextmanager
+def new_world():
+    """A world whose clock the nodes read, with merges from two runs on."""
+    world = World()
+    held(world)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(place_module, "now_us", lambda: world.now)
+        patch.setattr(place_module, "wall_us", lambda: DAY_US + world.now)
+        patch.setattr(tree, "FANOUT", 2)
+        yield world
+
+
+async def settle(world):
+    """A node that nobody disturbs brings everything to its end."""
+    world.late.clear()
+    for lease in list(world.keys.leases):
+        world.keys.end(lease)
+    node = await Node(world, "n0").start()
+    await node.read()
+    for _ in range(150):
+        world.now += 6 * US
+        await node.compacting.step()
+    return node
+
+
+@settings(max_examples=60)
+@given(st.integers(0, 10**6))
+def test_every_node_tells_the_same_of_every_job_whatever_becomes_of_a_compaction(seed):
+    async def all_of_it(world):
+        await play(world, events_of(seed))
+        node = await settle(world)
+        await check(world, [node], REFS)
+        keys = world.keys.keys
+        assert len([k for k in keys if k[:2] == "j/" and k[2:] in world.final]) <= 1
+        assert [k for k in keys if k[:2] in ("r/", "p/") and f"j/{k.split('/')[2]}" not in keys] == []
+        roots = node.compacting.reader.roots
+        named = {tree.block_key(b, r.name, i) for b, root in roots.items() for r in root.runs
+                 for i in range(len(r.firsts))}  # fmt: skip
+        assert named == {k for k in keys if k.startswith("zb/")}
+        assert not node.compacting.reader.damaged and "compactor" not in keys
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+# -- what each guard is for -------------------------------------------------------------------------------
+
+
+async def two_finished(world, keep=1):
+    """Two nodes, and two finished jobs of which one is to leave its records."""
+    nodes = [await Node(world, f"n{i}", keep).start() for i in range(2)]
+    for node in nodes:
+        await node.read()
+    for ref in REFS[:2]:
+        assert (await nodes[0].users.submit(msgspec.json.encode({**JOB, "ref": ref})))[0] == 201
+        finish(world, ref, False)
+    await nodes[0].follower.fresh()
+    return nodes
+
+
+async def steps(world, node, until):
+    """Step until something is so; fails if it never is."""
+    for _ in range(80):
+        if until():
+            return
+        world.now += 6 * US
+        await node.follower.fresh()
+        await node.compacting.step()
+    raise AssertionError("it never came to that")
+
+
+def roots_of(world):
+    return [k for k in world.keys.keys if k.startswith("hr/")]
+
+
+def late_root(fence):
+    """The root that names a block is on its way without an answer. Its blocks seem to be named by nothing."""
+
+    async def all_of_it(world):
+        one, _ = await two_finished(world)
+        await steps(world, one, lambda: any(k.startswith("zb/") for k in world.keys.keys))
+        one.store.mode = "late"
+        if not fence:
+            one.compacting._fence = forget_it
+        await steps(world, one, lambda: world.late)
+        # No job is due for a while; what is left lying about is swept.
+        one.compacting.limits = msgspec.structs.replace(one.compacting.limits, batch=1000)
+        if one.compacting.works is not None:
+            one.compacting.works.limits = one.compacting.limits
+        await steps(world, one, lambda: not any(k.startswith("zb/") for k in world.keys.keys))
+        world.deliver(0)
+        one.compacting.limits = msgspec.structs.replace(one.compacting.limits, batch=1)
+        node = await settle(world)
+        assert not node.compacting.reader.damaged
+        await check(world, [node], REFS)
+        assert f"j/{REFS[0]}" not in world.keys.keys
+        assert [r.name for root in node.compacting.reader.roots.values() for r in root.runs]
+
+    async def forget_it(works):
+        works.ended(False)
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+def test_a_root_that_arrives_late_names_no_block_that_was_swept():
+    late_root(fence=True)
+    with pytest.raises(AssertionError):
+        late_root(fence=False)
+
+
+def late_submission(conditional):
+    """Both nodes are asked to accept a job; one's transaction arrives when the job has left its records."""
+
+    async def all_of_it(world):
+        nodes = [await Node(world, f"n{i}").start() for i in range(2)]
+        for node in nodes:
+            await node.read()
+        if not conditional:
+            ask = nodes[1].users.past.ask
+
+            async def without(ref):
+                found = await ask(ref)
+                return {} if isinstance(found, dict) else found
+
+            nodes[1].users.past = SimpleNamespace(ask=without)
+        body = msgspec.json.encode({**JOB, "ref": REFS[0]})
+        nodes[1].store.mode = "late"
+        assert (await nodes[1].users.submit(body))[0] == 503
+        for ref in REFS[:2]:
+            assert (await nodes[0].users.submit(msgspec.json.encode({**JOB, "ref": ref})))[0] == 201
+            finish(world, ref, False)
+        await steps(world, nodes[0], lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        world.deliver(0)
+        await check(world, nodes, REFS)
+        assert (await nodes[1].users.submit(body))[0] == 200
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+def test_a_submission_that_arrives_after_its_job_has_left_its_records_is_not_accepted():
+    late_submission(conditional=True)
+    with pytest.raises(AssertionError, match="accepted twice"):
+        late_submission(conditional=False)
+
+
+def test_a_submission_looks_anew_if_the_history_was_written_to_meanwhile():
+    async def all_of_it(world):
+        one, two = await two_finished(world)
+        number = next(
+            n for n in range(100, 10**6) if tree.bucket_of(blocks.number_of(f"req-{n}"))
+            == tree.bucket_of(blocks.number_of(REFS[0]))
+        )  # fmt: skip
+        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        # Node two has not heard of it: its first transaction fails by the root, and the next is right.
+        status, _, _ = await two.users.submit(msgspec.json.encode({**JOB, "ref": f"req-{number}"}))
+        assert status == 201 and f"j/req-{number}" in world.keys.keys
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+def test_nothing_leaves_its_records_before_every_node_knows_how_to_read_it():
+    view = View()
+    assert not may_begin(view, 2)
+    view.put("part/0", 1, msgspec.json.encode(HolderRec("n0", 2)), 0)
+    view.put("part/1", 2, msgspec.json.encode(HolderRec("n0", 2)), 0)
+    assert not may_begin(view, 2)  # one node holds both: the other may be an older one
+    view.put("part/1", 3, msgspec.json.encode(HolderRec("n1", 1)), 0)
+    assert not may_begin(view, 2)
+    view.put("part/1", 4, msgspec.json.encode(HolderRec("n1", 2)), 0)
+    assert may_begin(view, 2)
+    view.put("part/1", 5, msgspec.json.encode(HolderRec("")), 0)
+    assert not may_begin(view, 2)
+
+
+def test_a_node_that_cannot_read_the_history_does_not_guess():
+    async def all_of_it(world):
+        one, _ = await two_finished(world)
+        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        blind = await Node(world, "n2").start()
+        blind.users.past = None
+        blind.view.others.clear()
+        blind.view.unread_history = True
+        assert (await blind.users.poll(REFS[0]))[0] == 503
+        assert (await blind.users.submit(msgspec.json.encode({**JOB, "ref": REFS[0]})))[0] == 503
+        assert (await blind.users.poll(REFS[1]))[0] == 200
+        view = View()
+        view.put("hr/3", 5, b"[[],1]", 0)
+        assert view.unread_history
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+def test_many_questions_for_old_jobs_share_a_read_and_do_not_pile_up():
+    async def all_of_it(world):
+        one, _ = await two_finished(world)
+        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        node = await Node(world, "n1").start()
+        answers = await asyncio.gather(*(node.users.poll(REFS[0]) for _ in range(60)))
+        assert {a[0] for a in answers} == {200, 503} and node.store.reads == 1
+        assert sum(a[0] == 200 for a in answers) == 32
+        assert (await node.users.poll(REFS[0]))[0] == 200 and node.store.reads == 1
+        assert (await node.users.cancel(REFS[0]))[0] == 200
+        # With its filter, an id that was never submitted is told apart without a read.
+        await node.read()
+        for n in range(100, 110):
+            assert (await node.users.poll(f"req-{n}"))[0] == 404
+        assert node.store.reads <= 2
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+def test_a_root_that_has_fewer_jobs_than_before_is_named_and_not_believed():
+    async def all_of_it(world):
+        one, _ = await two_finished(world)
+        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        world.keys.revision += 1
+        world.keys._apply(roots_of(world)[0], b"[[],0]", None)
+        assert (await one.users.poll(REFS[0]))[0] == 200
+        assert one.compacting.reader.damaged == roots_of(world)
+        world.now += 6 * US
+        before = world.keys.revision
+        await one.compacting.step()
+        assert world.keys.revision == before  # nothing more is written on top of it
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
+
+
+def test_what_may_leave_its_records():
+    view = View()
+
+    def put(key, stamp, rec):
+        view.put(key, stamp, msgspec.json.encode(rec), 0)
+
+    def of(ref):
+        return settled(ref, view.jobs[ref], 8)
+
+    for n, (ref, state) in enumerate([("req-1", DONE), ("req-2", "cancelled"), ("req-3", "queued"),
+                                      ("lent-x-1", DONE), ("req-4", DONE)]):  # fmt: skip
+        put(f"j/{ref}", 10 + n, JobRec(spec(ref), 0, state, 5 * US))
+    assert of("req-1").records == (("j/req-1", 10),) and of("req-1").final.done == 2
+    put("r/1/req-2", 20, RouteRec("0-1"))
+    put("p/1/req-2/0", 21, PlaceRec({0: Place("m", 1, 1, 0)}, "2"))
+    assert of("req-2") is None  # a task of it may still be there
+    put("p/1/req-2/0", 22, PlaceRec({}, "2"))
+    assert of("req-2").records == (("r/1/req-2", 20), ("p/1/req-2/0", 22), ("j/req-2", 11))
+    assert of("req-2").final.done == 1 and settled("req-2", view.jobs["req-2"], 2) is None
+    assert of("req-3") is None and of("lent-x-1") is None
+    assert [s.final.number for s in all_settled(view, 6 * US, US, 8)] == [11, 12, 14]
+    assert all_settled(view, 6 * US, 2 * US, 8) == []
+    view.stamps["l/req-4"] = 3
+    assert [s.final.number for s in all_settled(view, 6 * US, US, 8)] == [11, 12]
+
+
+def test_settings_say_what_is_wrong(tmp_path):
+    file = tmp_path / "history.yaml"
+    file.write_text("share: 2\n")
+    with pytest.raises(HistoryError, match="share"):
+        load(str(file))
+    assert load("deploy/history.yaml") == HistorySettings()
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -284,7 +284,7 @@
         if one.state == IDLE:
             there = {e.number for e in self.entries(root, bucket, self.store.keys)}
             jobs = self.settled(bucket)
-            prefix = f"hb/{bucket}/"
+            prefix = f"zb/{bucket}/"
             one.clear([j for j in jobs if j.final.number in there]) or one.begin(
                 [j for j in jobs if j.final.number not in there][:2]
             ) or one.sweep(root, [k for k in self.store.keys if k.startswith(prefix)])
@@ -358,7 +358,7 @@
     for bucket in BUCKETS_USED:
         root = service.store.root(bucket)
         named = {block_key(bucket, r.name, k) for r in root.runs for k in range(len(r.firsts))}
-        assert named == {k for k in service.store.keys if k.startswith(f"hb/{bucket}/")}
+        assert named == {k for k in service.store.keys if k.startswith(f"zb/{bucket}/")}
         assert root.count == len(service.entries(root, bucket, service.store.keys))
 
 
@@ -402,7 +402,7 @@
     service.take_over()
     service.compact(1, bucket, "ok", False)  # its blocks are there, the root does not name them yet
     old = service.compactors[0][bucket]
-    assert old.sweep(Root(), [k for k in service.store.keys if k.startswith("hb/")])
+    assert old.sweep(Root(), [k for k in service.store.keys if k.startswith("zb/")])
     service.compact(0, bucket, "ok", False)
     for _ in range(3):
         service.compact(1, bucket, "ok", False)  # the root, and the job's records go
@@ -468,4 +468,4 @@
     while one.state == "sweeping":
         gone |= set(one.step(step.puts["hr/0"], 5).deletes)
         one.ended(True)
-    assert gone == {f"hb/0/a{i}/0" for i in range(FANOUT)}
+    assert gone == {f"zb/0/a{i}/0" for i in range(FANOUT)}
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-ORDER = ["core", "history", "wire", "links", "node", "jobs", "archive", "client", "federation", "worker"]
-ORDER += ["standin", "local", "cli"]
+ORDER = ["core", "history", "wire", "links", "node", "jobs", "archive", "client", "federation"]
+ORDER += ["compacting", "worker", "standin", "local", "cli"]
 
 
 def test_a_node_imports_nothing_of_what_it_does_not_run():
