--- a/pearstep/compacting/portable.py
+++ b/pearstep/compacting/portable.py
@@ -1,8 +1,9 @@
 """The whole state as one file: written, checked, read into another state service.
 
 A file is msgpack messages in one zstandard frame: a header, the keys in order, and an end with their number
-and a checksum of everything before it. Nothing of it is trusted before the end was found right. Keys under
-leases (who holds what at the moment) are not part of it.
+and a checksum of everything before it. Nothing of it is trusted before the end was found right. Keys of
+who holds what at the moment are not part of it, nor is the archive's list of its members, who enter
+themselves anew.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 from .verifying import verify
 
 FORMAT, VERSION = "pearstep state", 1
-HELD = ("part", "leader", COMPACTOR, "importing")
+HELD = ("part", "leader", COMPACTOR, "importing", "archive")
 # Kinds whose records carry numbers that are revisions: names of rentals, attempts under a token, loans.
 BOUND = ("h", "m", "d", "p", "l", "g")
 MARK = "importing"
@@ -131,7 +132,7 @@
 ) -> None:  # fmt: skip
     """Whether a file may go into a state service with these keys at this revision; ``mark`` is the digest of
     an import that was begun there. Raises PortableError."""
-    kinds = {key.partition("/")[0] for key in there} - {MARK}
+    kinds = {key.partition("/")[0] for key in there} - {MARK, "archive"}
     if kinds & {"part", "leader"}:
         raise PortableError("controllers run there: stop them, and wait until their leases are over")
     if mark is not None and mark != digest:
--- a/pearstep/compacting/verifying.py
+++ b/pearstep/compacting/verifying.py
@@ -15,7 +15,7 @@
 from ..history.tree import BUCKETS, Root, block_key, bucket_of, root_key
 
 # Kinds that others than the controllers' core write and check.
-OTHERS = ("l", "g", "peer", COMPACTOR)
+OTHERS = ("l", "g", "peer", "archive", "importing", COMPACTOR)
 MOST_NAMED = 200
 
 _root = msgspec.json.Decoder(Root)
