--- a/pearstep/compacting/alone.py
+++ b/pearstep/compacting/alone.py
@@ -84,10 +84,11 @@
 async def compact(alone: Alone, settings: HistorySettings, patience_s: float = 30.0) -> tuple[int, str]:
     """Compact until nothing is due: how many jobs have left their records, and why it ended: '' if all is
     done."""
-    if not await alone.follower.load():
-        return 0, "the state service does not answer"
     compacting = Compacting(settings)
     compacting.attach(alone)
+    # Only now: what is read before anybody follows roots is not known to them.
+    if not await alone.follower.load():
+        return 0, "the state service does not answer"
     keeper = asyncio.ensure_future(alone.keep_lease())
     moved, begun, worked = 0, now_us(), False
     try:
--- a/pearstep/compacting/place.py
+++ b/pearstep/compacting/place.py
@@ -131,11 +131,14 @@
     # -- who compacts ----------------------------------------------------------------------------
 
     def _may(self) -> bool:
-        """Whether this node may write as a compactor at all now."""
+        """Whether this node may write as a compactor at all now. Seen with a command that read the keys
+        before anybody followed roots: all blocks looked like nobody's, and only the condition on the roots
+        kept them from being swept."""
         node = self.node
         return (
             node.follower.loaded and node.holding.lease is not None and node.store.refused_since is None
             and node.holding.awake() and self.reader.whole and not self.reader.damaged
+            and not node.view.unread_history
         )  # fmt: skip
 
     def _to(self, state: str, works: Works | None = None) -> None:
--- a/tests/test_compacting.py
+++ b/tests/test_compacting.py
@@ -521,3 +521,27 @@
     with pytest.raises(HistoryError, match="share"):
         load(str(file))
     assert load("deploy/history.yaml") == HistorySettings()
+
+
+def test_a_compactor_that_has_not_read_the_roots_writes_nothing():
+    # Seen: a command loaded the keys before it was attached, and tried to sweep every block there was.
+    async def all_of_it(world):
+        one, _ = await two_finished(world)
+        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        for lease in list(world.keys.leases):
+            world.keys.end(lease)
+        blind = Node(world, "n3")
+        others = dict(blind.view.others)
+        blind.view.others.clear()
+        await blind.follower.load()
+        blind.view.others.update(others)
+        await blind.read()
+        assert blind.compacting.reader.whole and blind.view.unread_history
+        before = world.keys.revision
+        for _ in range(5):
+            world.now += 6 * US
+            await blind.compacting.step()
+        assert world.keys.revision == before
+
+    with new_world() as world:
+        asyncio.run(all_of_it(world))
