Roots kept once, one store for commands, checks that could not fail are gone

A last reading of the change: roots stood in the reader and in the history; what could not happen in a loop of one's own was checked after each wait; whether an id still stands as new was written twice, and a poll of an unknown id now looks a second time only if the root has changed; three commands made their own store; a command's stand-in for settings repeated StateSettings; the measurements built the tree twice; bits of a mask were walked by hand. Whether everything was read is derived from how often it was.

--- a/measurements/history.py
+++ b/measurements/history.py
@@ -58,6 +58,16 @@
                 self.blocks.pop(key, None)
             one.ended(True)
 
+    def take(self, one: Compaction, jobs: list[Settled]) -> None:
+        """Take jobs into a bucket, and make larger runs where they are due."""
+        bucket = one.bucket
+        if one.begin(jobs):
+            self.run(one, bucket)
+        while old := due(self.roots[bucket]):
+            read = {r.name: self.contents(bucket, r.name, len(r.firsts)) for r in old}
+            one.begin_merge(self.roots[bucket], read)
+            self.run(one, bucket)
+
     def contents(self, bucket: int, run: str, count: int) -> list[Final]:
         """All entries of a run."""
         out = []
@@ -84,16 +94,10 @@
         bucket = bucket_of(number)
         waiting[bucket].append(Settled(one, ((f"j/{ref}", 1),)))
         if len(waiting[bucket]) == BATCH:
-            compactions[bucket].begin(waiting[bucket])
-            built.run(compactions[bucket], bucket)
+            built.take(compactions[bucket], waiting[bucket])
             waiting[bucket] = []
-            while old := due(built.roots[bucket]):
-                read = {r.name: built.contents(bucket, r.name, len(r.firsts)) for r in old}
-                compactions[bucket].begin_merge(built.roots[bucket], read)
-                built.run(compactions[bucket], bucket)
     for bucket, rest in waiting.items():
-        if compactions[bucket].begin(rest):
-            built.run(compactions[bucket], bucket)
+        built.take(compactions[bucket], rest)
     building_s = time.process_time() - begun
     roots = {root_key(b): msgspec.json.encode(r) for b, r in built.roots.items()}
     state = sum(len(k) + len(v) + 2 for k, v in built.blocks.items()) + sum(map(len, roots.values()))
--- a/measurements/history_service.py
+++ b/measurements/history_service.py
@@ -34,11 +34,10 @@
 from pearstep.core.records import DONE, JobRec, PlaceRec
 from pearstep.history.blocks import Final, number_of
 from pearstep.history.compaction import Compaction, Settled
-from pearstep.history.tree import BUCKETS, bucket_of, due, root_key
-from pearstep.links.budget import Budget
+from pearstep.history.tree import BUCKETS, bucket_of, root_key
 from pearstep.links.clocks import now_us
 from pearstep.links.http import Client
-from pearstep.links.store import Store
+from pearstep.links.store import plain_store
 from pearstep.local.layout import Cluster, make, write_settings
 from pearstep.wire import node as wire
 
@@ -68,8 +67,7 @@
         write_settings(root, self.cluster)
         self.http = Client(100)
         self.running: dict[str, subprocess.Popen[bytes]] = {}
-        budget = Budget(10_000, 10_000, now_us)
-        self.store = Store(self.http, self.cluster.state, budget, budget, now_us)
+        self.store = plain_store(self.http, self.cluster.state, 10_000, 10_000)
 
     def fill(self, keys: dict[str, tuple[int, bytes]]) -> None:
         """The state service's file, as if these had been written."""
@@ -167,24 +165,16 @@
     compactions = {b: Compaction(b, 7, MOST_OPS, MOST_BYTES) for b in range(BUCKETS)}
     waiting: dict[int, list[Settled]] = {b: [] for b in range(BUCKETS)}
 
-    def take(bucket: int) -> None:
-        if compactions[bucket].begin(waiting[bucket]):
-            built.run(compactions[bucket], bucket)
-        waiting[bucket] = []
-        while old := due(built.roots[bucket]):
-            read = {r.name: built.contents(bucket, r.name, len(r.firsts)) for r in old}
-            compactions[bucket].begin_merge(built.roots[bucket], read)
-            built.run(compactions[bucket], bucket)
-
     for ref in refs:
         number = number_of(ref)
         assert number is not None
         bucket = bucket_of(number)
         waiting[bucket].append(Settled(Final(number, False, 1), ((f"j/{ref}", 1),)))
         if len(waiting[bucket]) == BATCH:
-            take(bucket)
-    for bucket in range(BUCKETS):
-        take(bucket)
+            built.take(compactions[bucket], waiting[bucket])
+            waiting[bucket] = []
+    for bucket, rest in waiting.items():
+        built.take(compactions[bucket], rest)
     keys = {key: (first, msgspec.json.encode(block.decode())) for key, block in built.blocks.items()}
     for bucket, root in built.roots.items():
         if root.runs:
--- a/pearstep/cli/peers.py
+++ b/pearstep/cli/peers.py
@@ -17,10 +17,8 @@
 from ..federation.keys import NAME
 from ..federation.overflow import Grant
 from ..federation.replica import PeerRec
-from ..links.budget import Budget
 from ..links.checked import Address
-from ..links.clocks import now_us
-from ..links.store import COMMITTED, CONFLICT, Store
+from ..links.store import COMMITTED, CONFLICT, plain_store
 from .common import AWAY, NO, WRONG, Clients, command, fail, output, show
 
 
@@ -60,8 +58,7 @@
     """Write a peer's record: ``to`` makes the new one of the old one (None: there is none), or says with a
     string why not."""
     clients = Clients(root)
-    budget = Budget(100, 100, now_us)
-    store = Store(clients.http, clients.cluster.state, budget, budget, now_us)
+    store = plain_store(clients.http, clients.cluster.state, 100, 100)
     for _ in range(5):
         listing = await store.list_all(f"peer/{name}")
         if listing is None:
--- a/pearstep/cli/state.py
+++ b/pearstep/cli/state.py
@@ -9,17 +9,16 @@
 import click
 import msgspec
 
-from ..compacting.alone import Alone, Limits
+from ..compacting.alone import Alone
 from ..compacting.alone import compact as compact_now
 from ..compacting.portable import MARK, PortableError, batches, dump, load, may_import
 from ..compacting.settings import HistorySettings
 from ..compacting.verifying import Report, verify
-from ..links.budget import Budget
 from ..links.checked import Address
-from ..links.clocks import now_us
 from ..links.http import Client
-from ..links.store import COMMITTED, Store
+from ..links.store import COMMITTED, REFUSED, Store, plain_store
 from ..local.layout import load as load_cluster
+from ..node.settings import StateSettings
 from .common import AWAY, NO, command, fail, output, show
 
 # Of the state service's limits a command takes this much: controllers go first.
@@ -32,9 +31,7 @@
 
 
 def _store(root: Path, addr: str | None) -> Store:
-    where = _address(root, addr)
-    requests, writes = Budget(RPS, RPS, now_us), Budget(WRITE_RPS, WRITE_RPS, now_us)
-    return Store(Client(10), where, requests, writes, now_us)
+    return plain_store(Client(10), _address(root, addr), RPS, WRITE_RPS)
 
 
 def _address(root: Path, addr: str | None) -> str:
@@ -148,7 +145,7 @@
         if addr is not None:
             fail("with --state, say with --parts how many controllers the site has", 2)
         parts = len(load_cluster(root).nodes)
-    alone = Alone(Client(10), where, parts, Limits(RPS, write_rps, value_kb, 2 * OPS))
+    alone = Alone(Client(10), where, parts, StateSettings(RPS, write_rps, value_kb, 2 * OPS))
     moved, why = await compact_now(alone, HistorySettings(rest_s=rest_s, keep=keep, batch=1, share=1.0))
     click.echo(f"{moved} jobs have left their records")
     if why:
@@ -187,20 +184,22 @@
     mark = msgspec.json.decode(there[MARK]) if MARK in there else None
     _checked(file, lambda: may_import(header, rows, there, revision, mark, digest))
 
-    async def write(puts: dict[str, Any], conditions: dict[str, int], deletes: list[str]) -> int:
+    async def write(puts: dict[str, Any], conditions: dict[str, int], deletes: list[str]) -> None:
         for _ in range(50):
             outcome = await store.txn(conditions, {k: (v, None) for k, v in puts.items()}, deletes)
             if outcome.state == COMMITTED:
-                return outcome.revision
-            if outcome.state != "refused":
+                return
+            if outcome.state != REFUSED:
                 break
         fail("broken off: the state service does not answer, or somebody else writes there; "
              "the same command goes on where it was", AWAY)  # fmt: skip
 
     if mark is None:
         await write({MARK: digest}, {MARK: 0}, [])
-    stamp = next(p.version for p in (await store.list_all(MARK) or ([], 0))[0] if p.key == MARK)
-    written = 0
+    marked = await store.read(MARK)
+    if isinstance(marked, bool):
+        fail("the state service does not answer; the same command goes on where it was", AWAY)
+    stamp, written = marked.version, 0
     for puts in _checked(file, lambda: list(batches(rows, there, txn_ops))):
         await write({k: msgspec.Raw(v) for k, v in puts.items()}, {MARK: stamp} | dict.fromkeys(puts, 0), [])
         written += len(puts)
--- a/pearstep/compacting/alone.py
+++ b/pearstep/compacting/alone.py
@@ -5,71 +5,39 @@
 
 import asyncio
 import os
+from types import SimpleNamespace
 from typing import Any
 
 from ..core.model import US
 from ..core.view import View
-from ..links.budget import Budget
+from ..history.compaction import COMPACTOR
 from ..links.clocks import now_us
 from ..links.http import Client
-from ..links.store import Store
+from ..links.store import plain_store
 from ..node.following import Follower
-from ..node.settings import Leading
+from ..node.settings import Leading, StateSettings
 from .place import NONE, Compacting
 from .settings import HistorySettings
 
 LEASE_MS = 6000
 
 
-class Holding:
-    """What a compactor needs to know of what its node holds: a lease."""
-
-    def __init__(self) -> None:
-        self.lease: int | None = None
-        self.chief = None
-        self.version = 0
-
-    def awake(self) -> bool:
-        """A command that stood still loses its lease like anybody else."""
-        return True
-
-
-class Limits:
-    """What the command may ask of the state service."""
-
-    def __init__(self, rps: float, write_rps: float, value_kb: float, txn_ops: int) -> None:
-        self.rps, self.write_rps, self.value_kb, self.txn_ops = rps, write_rps, value_kb, txn_ops
-
-
-class Params:
-    """As in a node's settings."""
-
-    def __init__(self, state: Limits) -> None:
-        self.state = state
-
-
-class Settings:
-    """As a node's: ``parts`` is how many there are, ``txn_ops`` what one transaction may change."""
-
-    def __init__(self, parts: int, state: Limits) -> None:
-        self.parts = parts
-        self.params = Params(state)
-        self.txn_ops = state.txn_ops
-
-
 class Alone:
-    """Stands for the controller (``Compacting.attach``)."""
+    """Stands for the controller (``Compacting.attach``), with what of it a compactor needs. ``parts`` is how
+    many controllers the site has, ``limits`` what the command may ask of the state service."""
 
-    def __init__(self, http: Client, state: str, parts: int, limits: Limits) -> None:
+    def __init__(self, http: Client, state: str, parts: int, limits: StateSettings) -> None:
         self.node = f"command-{os.getpid()}"
-        budget = Budget(limits.rps, limits.rps, now_us)
-        self.store = Store(http, state, budget, Budget(limits.write_rps, limits.write_rps, now_us), now_us)
+        self.store = plain_store(http, state, limits.rps, limits.write_rps)
         self.view = View()
         self.follower = Follower(
             self.store, self.view, Leading(), lambda key, known: None, lambda: None
         )
-        self.holding = Holding()
-        self.settings = Settings(parts, limits)
+        # A command that stood still loses its lease like anybody else.
+        self.holding = SimpleNamespace(lease=None, chief=None, version=0, awake=lambda: True)
+        self.settings = SimpleNamespace(
+            parts=parts, params=SimpleNamespace(state=limits), txn_ops=limits.txn_ops
+        )
         self.users: Any = self  # its ``past`` is set, and nobody asks
         self.past: Any = None
 
@@ -104,7 +72,7 @@
             elif compacting.state == NONE and (worked or not compacting.due()):
                 return moved, ""
             elif not worked and now_us() - begun > patience_s * US:
-                held = alone.view.stamp("compactor")
+                held = alone.view.stamp(COMPACTOR)
                 return moved, "a controller compacts at the moment" if held else (
                     "not every controller has said that it reads the history: start all with --history FILE"
                 )
--- a/pearstep/compacting/place.py
+++ b/pearstep/compacting/place.py
@@ -18,7 +18,7 @@
 
 from ..core.job import Job
 from ..core.model import US
-from ..core.records import HISTORY_VERSION
+from ..core.records import HISTORY_VERSION, ROOTS
 from ..core.states import Table
 from ..core.view import View
 from ..history.compaction import COMPACTOR, Step
@@ -65,7 +65,7 @@
     """Whether finished jobs may leave their records. A node of an earlier release would say that it never
     heard of them, or run them again: before the first does, each node must have been seen as a holder of its
     part that understands this."""
-    if any(key.startswith("hr/") for key in view.stamps):
+    if any(key.startswith(ROOTS) for key in view.stamps):
         return True
     holders = [view.parts.get(part) for part in range(parts)]
     return all(h is not None and h.node and h.version >= version for h in holders) and (
@@ -179,18 +179,17 @@
         self._next_look_us = now + LOOK_US
         before = self._ours()
         if not before:
-            if node.view.stamp(COMPACTOR) or not may_begin(node.view, node.settings.parts):
+            if node.view.stamp(COMPACTOR) or not self.due():
                 return
             if node.holding.chief is not None and node.settings.parts > 1:
                 return  # the leader has enough to do
-            if not self.due():
+            if not may_begin(node.view, node.settings.parts):
                 return
         self._to(CLAIMING)
         # Also where the key is ours: what was on its way when the work was dropped must not be applied.
         stamp = await self._claim(before)
-        if not stamp or self.state != CLAIMING:
-            if self.state == CLAIMING:
-                self._to(NONE)
+        if not stamp:
+            self._to(NONE)
             return
         log.info("history: compacting since %d", stamp)
         self._idle_us = now_us()
@@ -198,9 +197,8 @@
 
     def due(self) -> bool:
         """Whether there is something to do."""
-        return bool(self._lost()) or self.reader.strays() or bool(
-            due_jobs(self.node.view, self.limits, wall_us())
-        )  # fmt: skip
+        jobs = due_jobs(self.node.view, self.limits, wall_us())
+        return bool(jobs or self._lost()) or self.reader.strays()
 
     def _lost(self) -> list[str]:
         """Records that their jobs have left behind, and that are there for a while."""
@@ -233,8 +231,6 @@
         """A transaction may still be on its way. Under a new stamp it can't be applied any more."""
         self._to(FENCING)
         stamp = await self._claim(works.stamp)
-        if self.state != FENCING:
-            return
         if not stamp:
             self._to(NONE)
             return
@@ -244,7 +240,7 @@
     # -- the work --------------------------------------------------------------------------------
 
     async def _work(self, works: Works) -> None:
-        found = works.next(self.reader.roots, now_us(), wall_us(), self.reader.whole, self._lost())
+        found = works.next(now_us(), wall_us(), self._lost())
         if isinstance(found, ReadBlock):
             await self.reader.block(found.key, IDLE)
         elif isinstance(found, ReadRun):
@@ -272,7 +268,7 @@
             for key, value in step.puts.items()
         }
         outcome = await self.node.store.txn(step.conditions, puts, list(step.deletes), urgency=IDLE)
-        if self.works is not works or outcome.state == REFUSED:
+        if outcome.state == REFUSED:
             return  # certainly not executed: the same step again
         if outcome.state not in (COMMITTED, CONFLICT):
             await self._fence(works)
@@ -281,10 +277,9 @@
             # What follows is decided from the view: it must have this step.
             await self._fence(works)
             return
-        if self.works is works:
-            if outcome.state == CONFLICT:
-                log.info("history: step stood back for %s", outcome.failed[:4])
-            works.ended(outcome.state == COMMITTED)
+        if outcome.state == CONFLICT:
+            log.info("history: step stood back for %s", outcome.failed[:4])
+        works.ended(outcome.state == COMMITTED)
 
     async def _rest(self, works: Works) -> None:
         """Nothing to do: after a while the key is given back, for whoever wants it next."""
@@ -295,5 +290,4 @@
         if outcome.state != REFUSED:
             self._next_look_us = now_us() + LOOK_US
             await self.node.follower.fresh()
-            if self.works is works:
-                self._to(NONE)
+            self._to(NONE)
--- a/pearstep/compacting/reader.py
+++ b/pearstep/compacting/reader.py
@@ -9,10 +9,11 @@
 
 import msgspec
 
-from ..core.records import BLOCKS
+from ..core.records import BLOCKS, ROOTS
 from ..core.view import View
 from ..history.answers import History, Read
 from ..history.blocks import BadBlock, Final, number_of, unpack
+from ..history.compaction import COMPACTOR
 from ..history.tree import Root
 from ..links.budget import IDLE, NORMAL, URGENT
 from ..links.clocks import now_us
@@ -38,7 +39,6 @@
         self.view = view
         self.store = store
         self.history = History(kept_blocks)
-        self.roots: dict[int, Root] = {}
         self.damaged: list[str] = []
         self.whole = False
         self._fresh = fresh
@@ -47,32 +47,38 @@
         self._waiting = 0
         # Blocks as they are written, until their run has its filter.
         self._raw: dict[tuple[int, str], dict[int, bytes]] = {}
-        self.blocks: set[str] = set()
         self._after = BLOCKS
         self._listed: set[str] = set()
         self._since = -1
         self._revision = 0
-        view.others.update({"hr": self._put_root, "zb": self._put_block, "compactor": self._put_compactor})
         self.compactor = b""
+        view.others.update({
+            ROOTS.rstrip("/"): self._put_root, BLOCKS.rstrip("/"): self._put_block,
+            COMPACTOR: self._put_compactor,
+        })  # fmt: skip
+
+    @property
+    def roots(self) -> dict[int, Root]:
+        """The roots as they are known, by bucket."""
+        return self.history.roots
 
     # -- what the view follows -------------------------------------------------------------------
 
     def _put_root(self, rest: str, stamp: int, raw: bytes | None) -> None:
         if raw is None:
-            self._harm(f"hr/{rest}", "has been removed")
+            self._harm(f"{ROOTS}{rest}", "has been removed")
             return
         try:
             bucket, root = int(rest), _root.decode(raw)
         except (ValueError, msgspec.MsgspecError) as err:
-            self._harm(f"hr/{rest}", str(err))
+            self._harm(f"{ROOTS}{rest}", str(err))
             return
         before = self.roots.get(bucket, Root())
         if root.count < before.count:
             # Whoever asks goes on being told what was true before.
-            self._harm(f"hr/{rest}", f"has {root.count} jobs, and had {before.count}")
+            self._harm(f"{ROOTS}{rest}", f"has {root.count} jobs, and had {before.count}")
             return
         if self.history.put_root(bucket, stamp, root):
-            self.roots[bucket] = root
             for run in root.runs:
                 self._fill(bucket, run.name)
 
@@ -85,7 +91,6 @@
             # A damaged value must not stop this node from following the rest.
             self._harm(f"{BLOCKS}{rest}", str(err))
             return
-        (self.blocks.discard if raw is None else self.blocks.add)(f"{BLOCKS}{rest}")
         if raw is None:
             blocks = self._raw.get(place, {})
             blocks.pop(at, None)
@@ -102,7 +107,8 @@
     def strays(self) -> bool:
         """Whether there are blocks that no root names. A compactor at work writes them before its root; else
         one did not get to that."""
-        return len(self.blocks) > sum(len(r.firsts) for root in self.roots.values() for r in root.runs)
+        there = sum(key.startswith(BLOCKS) for key in self.view.stamps)
+        return there > sum(len(r.firsts) for root in self.roots.values() for r in root.runs)
 
     def _put_compactor(self, rest: str, stamp: int, raw: bytes | None) -> None:
         self.compactor = raw or b""
--- a/pearstep/compacting/verifying.py
+++ b/pearstep/compacting/verifying.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..core import records
-from ..core.model import from_ranges
+from ..core.model import bits, from_ranges
 from ..core.records import BLOCKS, ROOTS, JobRec, PlaceRec, RouteRec
 from ..history.blocks import BadBlock, Final, number_of, ref_of, unpack
 from ..history.compaction import COMPACTOR
@@ -98,8 +98,8 @@
                 mask |= from_ranges(text)
             if mask >= most:
                 report.violation(f"{key}: routes a task that the job does not have")
-            for task in range(job.spec.tasks):
-                if mask >> task & 1 and routed.setdefault((ref, task), key) != key:
+            for task in bits(mask & (most - 1)):
+                if routed.setdefault((ref, task), key) != key:
                     report.violation(f"{key}: task {task} is routed by {routed[ref, task]}, too")
             continue
         chunk = int(key.split("/")[3])
--- a/pearstep/compacting/works.py
+++ b/pearstep/compacting/works.py
@@ -63,7 +63,7 @@
 
 
 class Works:
-    """The work of one stamp. ``blocks_known``: whether the view has the keys of all blocks."""
+    """The work of one stamp. The view has the keys of all blocks."""
 
     def __init__(self, stamp: int, view: View, history: History, limits: Limits) -> None:
         self.stamp = stamp
@@ -83,29 +83,27 @@
         # Where ids were looked for already; roots change by our own steps alone.
         self._passed: dict[int, set[str]] = {}
 
-    def next(
-        self, roots: dict[int, Root], now_us: int, wall_us: int, blocks_known: bool, lost: Sequence[str] = ()
-    ) -> Next:
+    def next(self, now_us: int, wall_us: int, lost: Sequence[str] = ()) -> Next:
         """The next thing to do; None if there is nothing now. ``lost``: records that their jobs have left
         behind."""
         self._dropping = False
         if self._at is not None:
-            step = self._step(self._at, roots)
+            step = self._step(self._at)
             if step is not None:
                 return step
-        for root_bucket in sorted(roots):
-            merge = self._merge(root_bucket, roots[root_bucket])
+        for bucket, root in sorted(self.history.roots.items()):
+            merge = self._merge(bucket, root)
             if merge is not None:
-                return merge if not isinstance(merge, Compaction) else self._step(merge, roots)
+                return merge if not isinstance(merge, Compaction) else self._step(merge)
         if not self._waiting and now_us - self._looked_us >= LOOK_US:
             self._looked_us = now_us
             self._waiting = due_jobs(self.view, self.limits, wall_us)
         if self._waiting:
             work = self._take_in()
             if work is not None:
-                return work if not isinstance(work, Compaction) else self._step(work, roots)
-        while blocks_known and self._unswept:
-            step = self._sweep(roots)
+                return work if not isinstance(work, Compaction) else self._step(work)
+        while self._unswept:
+            step = self._sweep()
             if step is not None:
                 return step
         if lost:
@@ -113,9 +111,9 @@
             return drop(self.view, self.stamp, lost, self.limits.most_ops)
         return None
 
-    def _step(self, one: Compaction, roots: dict[int, Root]) -> Step | None:
+    def _step(self, one: Compaction) -> Step | None:
         self._at = one
-        step = one.step(roots.get(one.bucket, Root()), self.view.stamp(root_key(one.bucket)))
+        step = one.step(self.history.roots.get(one.bucket, Root()), self.view.stamp(root_key(one.bucket)))
         if step is None:
             self._at = None
             self._unswept.add(one.bucket)
@@ -159,17 +157,16 @@
         self.moved += len(taken)
         return one if (one.clear(there) or one.begin(new)) else None
 
-    def _sweep(self, roots: dict[int, Root]) -> Step | None:
+    def _sweep(self) -> Step | None:
         bucket = self._unswept.pop()
         prefix = f"{BLOCKS}{bucket}/"
         keys = [key for key in self.view.stamps if key.startswith(prefix)]
         one = self._buckets[bucket]
-        return self._step(one, roots) if one.sweep(roots.get(bucket, Root()), keys) else None
+        return self._step(one) if one.sweep(self.history.roots.get(bucket, Root()), keys) else None
 
     def ended(self, committed: bool) -> None:
         """How the last step ended, for certain."""
         if self._dropping:
-            self._dropping = False
             return
         one = self._at
         assert one is not None
--- a/pearstep/history/answers.py
+++ b/pearstep/history/answers.py
@@ -50,6 +50,11 @@
         self._kept = kept
         self._blocks: OrderedDict[str, list[Final]] = OrderedDict()
 
+    @property
+    def roots(self) -> dict[int, Root]:
+        """The roots as they are known, by bucket."""
+        return {bucket: mine.root for bucket, mine in self._buckets.items()}
+
     def put_root(self, bucket: int, stamp: int, root: Root) -> bool:
         """A root is known; False if it is old news."""
         mine = self._buckets.setdefault(bucket, _Filters())
@@ -87,16 +92,15 @@
         """What is known of an id. ``passed`` is kept by the caller from one call to the next, and has the
         blocks in which it was not found: blocks never change, and with more of them to look into than are
         kept, a question would never come to its end."""
+        passed = set() if passed is None else passed
         bucket = bucket_of(number)
         mine = self._buckets.get(bucket)
         if mine is None:
             return Absent(root_key(bucket), 0)
         for run, index in where(mine.root, number):
             bloom = mine.by_run.get(run)
-            if bloom is not None and number not in bloom:
-                continue
             key = block_key(bucket, run, index)
-            if passed is not None and key in passed:
+            if key in passed or (bloom is not None and number not in bloom):
                 continue
             entries = self._blocks.get(key)
             if entries is None:
@@ -105,8 +109,7 @@
             found = find(entries, number)
             if found is not None:
                 return found
-            if passed is not None:
-                passed.add(key)
+            passed.add(key)
         return Absent(root_key(bucket), mine.stamp)
 
     @property
--- a/pearstep/links/store.py
+++ b/pearstep/links/store.py
@@ -12,6 +12,7 @@
 
 from ..wire import node as wire
 from .budget import IDLE, NORMAL, URGENT, Budget
+from .clocks import now_us
 from .http import Client
 
 log = logging.getLogger("pearstep.store")
@@ -185,3 +186,8 @@
             return _changes.decode(data)
         except msgspec.MsgspecError:
             return 0
+
+
+def plain_store(client: Client, addr: str, rps: float, write_rps: float) -> Store:
+    """The state service for a command: so many requests and changes a second, with bursts of a second's."""
+    return Store(client, addr, Budget(rps, rps, now_us), Budget(write_rps, write_rps, now_us), now_us)
--- a/pearstep/node/following.py
+++ b/pearstep/node/following.py
@@ -31,7 +31,6 @@
     ) -> None:  # fmt: skip
         self.store = store
         self.view = view
-        self.loaded = False
         # How often everything was read.
         self.loads = 0
         self._pause_s = leading.follow_ms / 1000
@@ -42,6 +41,11 @@
         self._refreshing = False
         self._refreshed_us = 0
 
+    @property
+    def loaded(self) -> bool:
+        """Whether everything was read once."""
+        return self.loads > 0
+
     async def load(self) -> bool:
         """Read everything anew."""
         # Blocks of finished jobs come last, and nothing waits for them.
@@ -60,7 +64,6 @@
         if not self.loaded:
             log.info("loaded %d keys at revision %d, %d open jobs", len(pairs), revision,
                      len(self.view.open))
-        self.loaded = True
         self.loads += 1
         self._on_holders()
         return True
--- a/pearstep/node/users.py
+++ b/pearstep/node/users.py
@@ -128,9 +128,8 @@
         job = self.view.jobs.get(ref)
         if job is not None and job.final:
             return job
-        if job is None and self.past is not None and isinstance(
-            past := await self.past.ask(ref), Ended
-        ):  # fmt: skip
+        past = await self._ask_past(ref) if job is None else None
+        if isinstance(past, Ended):
             return past
         # Seen with a state service that was silent to one node: polls waited for reads that could not
         # end well, until their users gave up on them.
@@ -138,8 +137,9 @@
             return False
         if ref in self.view.jobs:
             return self.view.jobs[ref]
-        found = await self._ask_past(ref)
-        return found if isinstance(found, Ended) else None if found is not None else False
+        if past is None or not self._stand(past):
+            past = await self._ask_past(ref)
+        return past if isinstance(past, Ended) else None if past is not None else False
 
     async def _ask_past(self, ref: str) -> Ended | dict[str, int] | None:
         """What is known of an id that has no record: how it ended, or the conditions under which it is new;
@@ -257,10 +257,14 @@
         finally:
             self._flushes -= 1
 
+    def _stand(self, conditions: dict[str, int]) -> bool:
+        """Whether nothing newer is known where an id was looked for."""
+        return all(self.view.stamp(key) <= stamp for key, stamp in conditions.items())
+
     def _still_new(self, one: _Waiting) -> bool:
         """Whether somebody waits for it, and nothing was written meanwhile where it was not found: with one
         that looked before, and one that looked after, a transaction could meet the conditions of neither."""
-        if any(self.view.stamp(key) > stamp for key, stamp in one.conditions.items()):
+        if not self._stand(one.conditions):
             self._settle(one, STALE)
         return not one.future.done()
 
--- a/tests/test_compacting.py
+++ b/tests/test_compacting.py
@@ -297,8 +297,7 @@
         assert named == {k for k in keys if k.startswith("zb/")}
         assert not node.compacting.reader.damaged and "compactor" not in keys
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 # -- what each guard is for -------------------------------------------------------------------------------
@@ -327,6 +326,19 @@
     raise AssertionError("it never came to that")
 
 
+async def one_moved(world):
+    """Two nodes; the first finished job has left its records."""
+    nodes = await two_finished(world)
+    await steps(world, nodes[0], lambda: f"j/{REFS[0]}" not in world.keys.keys)
+    return nodes
+
+
+def in_world(work):
+    """Play something in a world of its own."""
+    with new_world() as world:
+        asyncio.run(work(world))
+
+
 def roots_of(world):
     return [k for k in world.keys.keys if k.startswith("hr/")]
 
@@ -357,8 +369,7 @@
     async def forget_it(works):
         works.ended(False)
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_a_root_that_arrives_late_names_no_block_that_was_swept():
@@ -393,8 +404,7 @@
         await check(world, nodes, REFS)
         assert (await nodes[1].users.submit(body))[0] == 200
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_a_submission_that_arrives_after_its_job_has_left_its_records_is_not_accepted():
@@ -415,8 +425,7 @@
         status, _, _ = await two.users.submit(msgspec.json.encode({**JOB, "ref": f"req-{number}"}))
         assert status == 201 and f"j/req-{number}" in world.keys.keys
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_nothing_leaves_its_records_before_every_node_knows_how_to_read_it():
@@ -435,8 +444,7 @@
 
 def test_a_node_that_cannot_read_the_history_does_not_guess():
     async def all_of_it(world):
-        one, _ = await two_finished(world)
-        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        one, _ = await one_moved(world)
         blind = await Node(world, "n2").start()
         blind.users.past = None
         blind.view.others.clear()
@@ -448,14 +456,12 @@
         view.put("hr/3", 5, b"[[],1]", 0)
         assert view.unread_history
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_many_questions_for_old_jobs_share_a_read_and_do_not_pile_up():
     async def all_of_it(world):
-        one, _ = await two_finished(world)
-        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        one, _ = await one_moved(world)
         node = await Node(world, "n1").start()
         asked = await asyncio.gather(*(node.users.past.ask(REFS[0]) for _ in range(60)))
         assert node.store.reads == 1 and sum(found is not None for found in asked) == 32
@@ -467,14 +473,12 @@
             assert (await node.users.poll(f"req-{n}"))[0] == 404
         assert node.store.reads <= 2
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_a_root_that_has_fewer_jobs_than_before_is_named_and_not_believed():
     async def all_of_it(world):
-        one, _ = await two_finished(world)
-        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        one, _ = await one_moved(world)
         world.keys.revision += 1
         world.keys._apply(roots_of(world)[0], b"[[],0]", None)
         await one.follower.fresh()
@@ -485,8 +489,7 @@
         await one.compacting.step()
         assert world.keys.revision == before  # nothing more is written on top of it
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_what_may_leave_its_records():
@@ -526,8 +529,7 @@
 def test_a_compactor_that_has_not_read_the_roots_writes_nothing():
     # Seen: a command loaded the keys before it was attached, and tried to sweep every block there was.
     async def all_of_it(world):
-        one, _ = await two_finished(world)
-        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        one, _ = await one_moved(world)
         for lease in list(world.keys.leases):
             world.keys.end(lease)
         blind = Node(world, "n3")
@@ -543,14 +545,12 @@
             await blind.compacting.step()
         assert world.keys.revision == before
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
 
 
 def test_a_damaged_block_is_named_and_the_node_follows_on():
     async def all_of_it(world):
-        one, _ = await two_finished(world)
-        await steps(world, one, lambda: f"j/{REFS[0]}" not in world.keys.keys)
+        one, _ = await one_moved(world)
         for key, raw in (("zb/3/9-9/0", b"[1]"), ("zb/x", b'"a"'), ("hr/x", b"[[],1]"), ("hr/4", b'"a"')):
             world.keys.revision += 1
             world.keys._apply(key, raw, None)
@@ -559,5 +559,4 @@
         assert one.compacting.reader.damaged == ["zb/3/9-9/0", "zb/x", "hr/x", "hr/4"]
         await check(world, [one], REFS[:3])
 
-    with new_world() as world:
-        asyncio.run(all_of_it(world))
+    in_world(all_of_it)
