--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -4,12 +4,12 @@
 
 from dataclasses import dataclass, field
 
-from .capacity import Shape, shape_of
+from .capacity import MOST, Shape, shape_of
 from .job import Job
 from .model import US, Aims, MachineType, Room, Spec, room_of
 from .picture import Slot
 from .placement import type_allowed
-from .records import QUEUED, DrainRec, HireRec
+from .records import QUEUED, DrainRec, HireRec, MachineRec
 from .view import View
 
 
@@ -30,6 +30,7 @@
     move_us: int = 0
     move_ran_us: int = 35 * US
     move_left_us: int = 20 * US
+    dearest: float = 0.0
 
 
 # The horizon of room on machines that boot: it counts for everyone.
@@ -150,7 +151,8 @@
             known = self.view.machines.get(name)
             if known is None or name in self.view.drains or known[1].type not in self.types:
                 continue
-            rooms = {h: Room(0, 0, 0) for h in horizons}
+            mtype, spot = self.types[known[1].type], known[1].spot
+            rooms = {h: self._none(mtype, spot) for h in horizons}
             for (ref, _), place in places.items():
                 job = self.view.jobs[ref]
                 ran = wall_us - place.at_us
@@ -160,9 +162,17 @@
                 for horizon, room in rooms.items():
                     if job.state != QUEUED or left <= horizon:
                         room.take(job.spec, -1)
-            out.append(Offer(self.types[known[1].type], known[1].zone, known[1].spot, rooms))
+            out.append(Offer(mtype, known[1].zone, spot, rooms))
         return out
 
+    def _none(self, mtype: MachineType, spot: bool) -> Room:
+        """No room yet on such a machine; what work frees there that could be elsewhere is for such work."""
+        scarce = self.view.scarce
+        room = Room(0, 0, 0)
+        if scarce.rest_of(mtype.name, spot) is not None:
+            room.rest = scarce.bounded(Room(0, 0, 0), mtype.name)
+        return room
+
     def wishes(self, unplaced: list[tuple[Job, int]], now_us: int, wall_us: int) -> list[Wish]:
         """What to rent for tasks that find no room, beyond what is booting already."""
         coming: list[Offer] = []
@@ -211,13 +221,14 @@
 
     def _whole(self, name: str, zone: str, spot: bool) -> Offer:
         mtype = self.types[name]
-        return Offer(mtype, zone, spot, {COMING: room_of(mtype)})
+        return Offer(mtype, zone, spot, {COMING: self.view.scarce.room_of(mtype, spot)})
 
     def _cheapest(self, job: Job, left: int, now_us: int) -> tuple[str, str, bool] | None:
         """The type, zone and kind with the least price per task that it would hold."""
         spec = job.spec
         best: tuple[str, str, bool] | None = None
         best_cost = 0.0
+        most = {spot: self._most(spec, spot) for spot in (True, False)}
         for mtype in self.types.values():
             if not type_allowed(spec, mtype):
                 continue
@@ -228,11 +239,40 @@
                 for spot in (True, False) if spec.spot else (False,):
                     if self.refused.get((mtype.name, zone, spot), 0) > now_us:
                         continue
+                    if self.view.scarce.kept_from(spec, mtype.name, spot):
+                        continue
+                    if self._place_price(spec, mtype, spot) > most[spot]:
+                        continue
                     cost = (mtype.spot_price if spot else mtype.price) / holds
                     if best is None or cost < best_cost:
                         best, best_cost = (mtype.name, zone, spot), cost
         return best
 
+    def _most(self, spec: Spec, spot: bool) -> float:
+        """The most that a place for the job may cost an hour, against the cheapest place of the same kind,
+        whether that can be had now or not. Seen (relevamiento-forestal): with the cheap machines rented out,
+        others at eighteen times their price a place were rented for work that could wait, and the day's
+        money was twice what the work was worth."""
+        if not self.cfg.dearest:
+            return float("inf")
+        return self.cfg.dearest * min(
+            self._place_price(spec, t, spot) for t in self.types.values() if type_allowed(spec, t)
+        )
+
+    def _serves(self, spec: Spec, known: MachineRec) -> bool:
+        """Whether an empty machine is of use to the job."""
+        mtype = self.types.get(known.type)
+        return (
+            mtype is not None and type_allowed(spec, mtype) and spec.zone in (None, known.zone)
+            and (spec.spot or not known.spot)
+            and not self.view.scarce.kept_from(spec, mtype.name, known.spot)
+            and self._place_price(spec, mtype, known.spot) <= self._most(spec, known.spot)
+        )  # fmt: skip
+
+    def _place_price(self, spec: Spec, mtype: MachineType, spot: bool) -> float:
+        """What a place for the job costs an hour on a full machine of this kind."""
+        return (mtype.spot_price if spot else mtype.price) / room_of(mtype).how_many(spec, MOST)
+
     def moves(self, slots: list[Slot], now_us: int, wall_us: int) -> dict[str, DrainRec]:
         """A dear machine with little on it, if all of that fits on other busy or cheaper machines: its
         tasks save and go there, and it is returned. One at a time, so that what moves can settle."""
@@ -298,12 +338,18 @@
             other.room = room
         return True
 
-    def returns(self, wanted: bool, now_us: int, wall_us: int) -> dict[str, DrainRec]:
-        """Machines to empty and delete: idle for long, or never come up."""
+    def returns(
+        self, short: list[tuple[Job, int]], now_us: int, wall_us: int
+    ) -> dict[str, DrainRec]:
+        """Machines to empty and delete: idle for long and of no use to what waits, or never come up. Seen
+        (relevamiento-forestal): something always waited, and idle machines that it could not use were kept
+        to the day's end."""
         out: dict[str, DrainRec] = {}
-        if not wanted:
-            for name, since in self.idle_since.items():
-                if now_us - since > self.cfg.idle_us and name not in self.view.drains:
+        waits = {shape_of(job.spec): job.spec for job, _ in short}
+        for name, since in self.idle_since.items():
+            if now_us - since > self.cfg.idle_us and name not in self.view.drains:
+                known = self.view.machines[name][1]
+                if not any(self._serves(spec, known) for spec in waits.values()):
                     out[name] = DrainRec("idle", wall_us)
         for name, (rec, since) in self.booting.items():
             boot_us = self.types[rec.type].boot_us if rec.type in self.types else 60 * US
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -87,12 +87,13 @@
         """Routes that should change, in order of importance."""
         for ref in [ref for ref in self.faulty if ref not in self.view.open]:
             del self.faulty[ref]
+        self.view.scarce.follow(self.book.types.values(), now_us)
         jobs = self.ordered(now_us, wall_us)
         self.unplaced = []
         self.placeless = []
         if not jobs:
             return []
-        picture = Picture(self.slots(), range(self.parts))
+        picture = Picture(self.slots(), range(self.parts), self.view.scarce)
         work = Pass(self.view, picture, Limits(self.view, self.teams), now_us, settle_us, wall_us)
         work.patient = self._patient()
         for job in jobs:
--- a/pearstep/core/machine.py
+++ b/pearstep/core/machine.py
@@ -4,7 +4,8 @@
 
 from collections import OrderedDict
 
-from .model import MachineType, Room, Spec, room_of
+from .model import MachineType, Room, Spec
+from .scarce import Scarce
 from .states import Table
 from .task import Attempt
 
@@ -66,9 +67,9 @@
         self.probe_us = 0
         self.delete_us = 0
 
-    def free(self) -> Room:
+    def free(self, scarce: Scarce) -> Room:
         """What is free, counting everything that may be on the machine as present."""
-        room = room_of(self.mtype)
+        room = scarce.room_of(self.mtype, self.spot)
         for attempt in self.attempts.values():
             room.take(attempt.spec)
         for spec in self.strays.values():
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -91,19 +91,35 @@
         )
 
 
+class Rest:
+    """What of a machine is for work that could run elsewhere, on a kind of machine that alone holds other
+    work (``scarce``)."""
+
+    __slots__ = ("room", "elsewhere")
+
+    def __init__(self, room: Room, elsewhere: Callable[[Spec], bool]) -> None:
+        self.room = room
+        self.elsewhere = elsewhere
+
+
 class Room:
-    """Free or used amounts of one machine."""
+    """Free or used amounts of one machine. ``rest``: how much of it work may use that could run
+    elsewhere; None: all."""
 
-    __slots__ = ("cpus", "gpus", "memory_gb")
+    __slots__ = ("cpus", "gpus", "memory_gb", "rest")
 
-    def __init__(self, cpus: float, gpus: float, memory_gb: float) -> None:
+    def __init__(self, cpus: float, gpus: float, memory_gb: float, rest: Rest | None = None) -> None:
         self.cpus = cpus
         self.gpus = gpus
         self.memory_gb = memory_gb
+        self.rest = rest
 
     def copy(self) -> Room:
         """An independent copy to plan with."""
-        return Room(self.cpus, self.gpus, self.memory_gb)
+        rest = self.rest
+        if rest is not None:
+            rest = Rest(rest.room.copy(), rest.elsewhere)
+        return Room(self.cpus, self.gpus, self.memory_gb, rest)
 
     def fits(self, spec: Spec) -> bool:
         """Whether one task of the job fits in."""
@@ -111,6 +127,7 @@
             spec.cpus <= self.cpus + EPS
             and spec.gpus <= self.gpus + EPS
             and spec.memory_gb <= self.memory_gb + EPS
+            and (self.rest is None or self.rest.room.fits(spec) or not self.rest.elsewhere(spec))
         )
 
     def take(self, spec: Spec, count: int = 1) -> None:
@@ -118,6 +135,8 @@
         self.cpus -= spec.cpus * count
         self.gpus -= spec.gpus * count
         self.memory_gb -= spec.memory_gb * count
+        if self.rest is not None and self.rest.elsewhere(spec):
+            self.rest.room.take(spec, count)
 
     def how_many(self, spec: Spec, most: int) -> int:
         """How many tasks of the job fit in, counted up to ``most``."""
@@ -135,6 +154,8 @@
             if self.memory_gb + EPS < spec.memory_gb:
                 return 0
             n = min(n, int((self.memory_gb + EPS) / spec.memory_gb))
+        if n and self.rest is not None and self.rest.elsewhere(spec):
+            n = min(n, self.rest.room.how_many(spec, n))
         return n
 
 
--- a/pearstep/core/picture.py
+++ b/pearstep/core/picture.py
@@ -5,8 +5,9 @@
 from collections.abc import Iterable
 
 from .capacity import Capacity
-from .model import MachineType, Room, Spec, room_of
+from .model import MachineType, Room, Spec
 from .placement import Seat, zone_limit
+from .scarce import Scarce
 from .view import View
 
 # A part, a zone, whether the machines are spot ones, and whether they have accelerators.
@@ -19,15 +20,16 @@
     __slots__ = ("name", "part", "mtype", "zone", "spot", "images", "base", "room", "usable", "lower")
 
     def __init__(
-        self, name: str, part: int, mtype: MachineType, zone: str, spot: bool, images: dict[str, float]
-    ) -> None:
+        self, name: str, part: int, mtype: MachineType, zone: str, spot: bool, images: dict[str, float],
+        scarce: Scarce,
+    ) -> None:  # fmt: skip
         self.name = name
         self.part = part
         self.mtype = mtype
         self.zone = zone
         self.spot = spot
         self.images = images
-        self.base = room_of(mtype)
+        self.base = scarce.room_of(mtype, spot)
         self.room = self.base
         self.usable = True
         self.lower: list[Spec] = []
@@ -65,11 +67,15 @@
         self.types = types
         self._slots: dict[str, Slot] = {}
         self._due = set(view.machines)
+        self._kept = view.scarce.version
         self.counted = 0
 
     def slots(self) -> list[Slot]:
         """The machines as the records stand, each with a room of its own to plan with."""
         due = self._due | self.view.touched
+        if self._kept != self.view.scarce.version:
+            self._kept = self.view.scarce.version
+            due |= self.view.machines.keys()
         self.view.touched.clear()
         self._due = set()
         for name in due:
@@ -93,7 +99,7 @@
             self._due.add(name)
             return
         self.counted += 1
-        slot = self._slots[name] = Slot(name, part, mtype, rec.zone, rec.spot, rec.images)
+        slot = self._slots[name] = Slot(name, part, mtype, rec.zone, rec.spot, rec.images, self.view.scarce)
         for ref, _ in self.view.on.get(name, ()):
             spec = self.view.jobs[ref].spec
             slot.base.take(spec)
@@ -103,14 +109,14 @@
 class Picture:
     """The slots of one pass with counts of what fits where."""
 
-    def __init__(self, slots: list[Slot], parts: Iterable[int]) -> None:
+    def __init__(self, slots: list[Slot], parts: Iterable[int], scarce: Scarce) -> None:
         self.slots = slots
         self.by_name = {s.name: s for s in slots}
         self.by_part: dict[int, list[Slot]] = {p: [] for p in parts}
         for slot in slots:
             self.by_part.setdefault(slot.part, []).append(slot)
         self.now = Capacity(slots, _group, lambda s: s.room)
-        self.empty = Capacity(slots, _group, lambda s: room_of(s.mtype))
+        self.empty = Capacity(slots, _group, lambda s: scarce.room_of(s.mtype, s.spot))
         self._yielding: dict[int, Capacity[Slot, Group]] = {}
 
     def yielding(self, priority: int) -> Capacity[Slot, Group]:
--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -26,6 +26,7 @@
     def seats(self, now_us: int) -> list[Seat]:
         """The machines that may be given tasks."""
         out = []
+        self.view.scarce.follow(self.types.values(), now_us)
         # Where even the most urgent class has time, seconds of image fetch matter less than accelerators.
         # Seen: gangs that had 80 s went to accelerator machines to save 4 s, and arrays found no room.
         nearest_us = min((within[0] for within in self.cfg.aims.values()), default=0)
@@ -41,9 +42,8 @@
                 (a.expected_end_us(now_us, self._run_us(a.spec), self.cfg.overrun), a.spec)
                 for a in m.attempts.values()
             ]
-            seat = Seat(
-                m.name, m.mtype, m.zone, m.spot, m.free(), m.images, self.backfill.label(m.name), ends
-            )
+            room = m.free(self.view.scarce)
+            seat = Seat(m.name, m.mtype, m.zone, m.spot, room, m.images, self.backfill.label(m.name), ends)
             seat.spare_us = spare_us
             for _, spec in ends:
                 if spec.image not in m.images:
--- /dev/null
+++ b/pearstep/core/scarce.py
@@ -0,0 +1,130 @@
+"""Kinds of machine that are the only ones to hold some work, and are held whole by it.
+
+One small task on such a machine blocks it for the work that can be nowhere else, for as long as the task
+runs. Seen (relevamiento-forestal, simulated machines): services of 2 CPUs, there for 800 s, and arrays of 4
+sat on 22 machines of 48 CPUs; gangs of 43 CPUs a task waited 487 s at the 90th percentile. So work that
+could run elsewhere gets no more of such a machine than what its own work leaves over.
+
+Where a task needs half a machine or less the rule says nothing: what one small task blocks there is a small
+share, and machines that would stand idle for it cost more than they gain.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from .capacity import Shape, shape_of
+from .model import US, MachineType, Rest, Room, Spec, room_of
+from .placement import type_allowed
+
+# How long a shape counts after the last job of it came: several times what boots and runs take.
+REMEMBERED_US = 600 * US
+# Work that comes now and then is what machines are kept for; one such job alone waits like any other.
+REGULAR = 3
+# Shapes that are remembered at the most, so that jobs that all differ cost no memory.
+MOST_SHAPES = 256
+
+
+class Scarce:
+    """Which machines are kept for whom, from the shapes of the jobs that came lately."""
+
+    def __init__(self) -> None:
+        # A job of each shape, when the last one came and how many did; last seen last.
+        self._seen: dict[Shape, tuple[Spec, int, int]] = {}
+        self._types: dict[str, MachineType] = {}
+        self._kept: dict[str, tuple[Room, bool]] = {}
+        self._elsewhere: dict[tuple[str, Shape], bool] = {}
+        self._asks: dict[str, Callable[[Spec], bool]] = {}
+        self._count_us = -REMEMBERED_US
+        self._due = False
+        # Counts the changes of what is kept, for those who keep rooms from pass to pass.
+        self.version = 0
+
+    def note(self, spec: Spec, now_us: int) -> None:
+        """A job has come."""
+        shape = shape_of(spec)
+        known = self._seen.pop(shape, None)
+        count = 1 + (known[2] if known is not None else 0)
+        self._due |= count == REGULAR
+        self._seen[shape] = (spec, now_us, count)
+        if len(self._seen) > MOST_SHAPES:
+            del self._seen[next(iter(self._seen))]
+
+    def follow(self, types: Iterable[MachineType], now_us: int) -> None:
+        """Once before each pass: machine types may have become known, shapes may be forgotten."""
+        known = {t.name: t for t in types}
+        changed = known.keys() != self._types.keys()
+        self._types = known
+        if changed:
+            self._elsewhere.clear()
+        if changed or self._due or now_us - self._count_us >= REMEMBERED_US // 10:
+            self._due = False
+            self._count_us = now_us
+            self._count(now_us)
+
+    def _count(self, now_us: int) -> None:
+        for shape in [s for s, (_, at_us, _) in self._seen.items() if now_us - at_us > REMEMBERED_US]:
+            del self._seen[shape]
+        before = self._kept
+        self._kept = {}
+        for spec, _, count in self._seen.values():
+            if count < REGULAR:
+                continue
+            able = [t for t in self._types.values() if type_allowed(spec, t)]
+            if len(able) != 1 or len(self._types) < 2 or room_of(able[0]).how_many(spec, 2) != 1:
+                continue
+            mtype = able[0]
+            rest = room_of(mtype)
+            rest.take(spec)
+            known = self._kept.get(mtype.name)
+            if known is not None:
+                rest = Room(
+                    min(rest.cpus, known[0].cpus), min(rest.gpus, known[0].gpus),
+                    min(rest.memory_gb, known[0].memory_gb),
+                )  # fmt: skip
+            self._kept[mtype.name] = (rest, spec.spot or (known is not None and known[1]))
+        if self._told(before) != self._told(self._kept):
+            self.version += 1
+
+    @staticmethod
+    def _told(kept: dict[str, tuple[Room, bool]]) -> dict[str, tuple[float, float, float, bool]]:
+        return {name: (r.cpus, r.gpus, r.memory_gb, spot) for name, (r, spot) in kept.items()}
+
+    def elsewhere(self, spec: Spec, name: str) -> bool:
+        """Whether the job could run on machines of another type than this one."""
+        key = (name, shape_of(spec))
+        found = self._elsewhere.get(key)
+        if found is None:
+            if len(self._elsewhere) >= 8 * MOST_SHAPES:
+                self._elsewhere.clear()
+            found = self._elsewhere[key] = any(
+                t.name != name and type_allowed(spec, t) for t in self._types.values()
+            )
+        return found
+
+    def kept_from(self, spec: Spec, name: str, spot: bool) -> bool:
+        """Whether machines of this kind are kept for others than this job."""
+        kept = self._kept.get(name)
+        return kept is not None and (kept[1] or not spot) and self.elsewhere(spec, name)
+
+    def rest_of(self, name: str, spot: bool) -> Room | None:
+        """What a machine of this kind has for work that could run elsewhere; None: all that it has."""
+        kept = self._kept.get(name)
+        return kept[0].copy() if kept is not None and (kept[1] or not spot) else None
+
+    def room_of(self, mtype: MachineType, spot: bool) -> Room:
+        """All the room that such a machine has, with what of it is for whom."""
+        room = room_of(mtype)
+        rest = self.rest_of(mtype.name, spot)
+        if rest is not None:
+            room.rest = self.bounded(rest, mtype.name)
+        return room
+
+    def bounded(self, room: Room, name: str) -> Rest:
+        """This much of a machine of this type is for work that could run elsewhere."""
+        ask = self._asks.get(name)
+        if ask is None:
+            def ask(spec: Spec, name: str = name) -> bool:
+                return self.elsewhere(spec, name)
+            self._asks[name] = ask
+        return Rest(room, ask)
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -29,6 +29,7 @@
     place_key,
     route_key,
 )
+from .scarce import Scarce
 
 # Kinds of keys that ``federation`` writes.
 LOANS = ("l/", "g/")
@@ -73,6 +74,8 @@
         # leader last looked: with hundreds of machines it must not count them all anew each time.
         self.on: dict[str, dict[tuple[str, int], Place]] = {}
         self.touched: set[str] = set()
+        # Machines that are kept for work that can be nowhere else, by the jobs that came.
+        self.scarce = Scarce()
 
     def stamp(self, key: str) -> int:
         """The last known revision of a key, 0 if it does not exist."""
@@ -156,6 +159,7 @@
             job = self.jobs.get(path[0])
             if job is None:
                 job = self.jobs[path[0]] = Job(rec, stamp, now_us)
+                self.scarce.note(rec.spec, now_us)
                 if rec.part is not None:
                     # Any record of a route has a later revision than none and takes its place.
                     route = RouteRec(f"0-{rec.spec.tasks - 1}")
--- a/pearstep/federation/reckon.py
+++ b/pearstep/federation/reckon.py
@@ -90,7 +90,7 @@
 ) -> list[Waiting]:  # fmt: skip
     """What waits here, with when it should start by the leader's picture: one job after another in the order
     in which they are served, on the machines that are there, each keeping its room."""
-    seats = Picture(leader.slots(), range(parts)).seats(leader.view, wall_us)
+    seats = Picture(leader.slots(), range(parts), leader.view.scarce).seats(leader.view, wall_us)
     out: list[Waiting] = []
     latest = wall_us
     first = True
--- a/pearstep/node/chief.py
+++ b/pearstep/node/chief.py
@@ -57,7 +57,7 @@
                 us(renting.idle_s), renting.most_at_once, renting.most_machines, us(renting.refused_s),
                 renting.boot_factor, us(renting.boot_margin_s),
                 renting.patience, tuning.backfilling.overrun, settings.urgent, settings.aims,
-                us(renting.move_s),
+                us(renting.move_s), dearest=renting.dearest,
             ),
         )  # fmt: skip
         self.requests = 0
@@ -168,7 +168,7 @@
             await self._hire(wish)
         if short:
             self.fleet.next_move_us = now + 10_000_000
-        drains = self.fleet.returns(bool(short), now, wall)
+        drains = self.fleet.returns(short, now, wall)
         if not drains:
             drains = self.fleet.moves(self.leader.slots(), now, wall)
         if drains:
--- a/pearstep/node/settings.py
+++ b/pearstep/node/settings.py
@@ -139,6 +139,8 @@
     boot_margin_s: Positive = 15.0
     patience: NotNegative = 1.0
     move_s: NotNegative = 4.0
+    # How many times the price of the cheapest place of its kind a place may cost; 0: any.
+    dearest: NotNegative = 0.0
 
 
 class Guarding(msgspec.Struct, forbid_unknown_fields=True):
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -180,10 +180,10 @@
     o.place(0, "req-1", [0], "m1")
     o.put("h/r-1-1", HireRec("small", "a", False, 1, o.now, ["m9"]))
     o.fleet.follow(o.now, o.now)
-    assert o.fleet.returns(False, o.now, o.now) == {}
+    assert o.fleet.returns([], o.now, o.now) == {}
     o.now += 90 * US
     o.fleet.follow(o.now, o.now)
-    returned = o.fleet.returns(False, o.now, o.now)
+    returned = o.fleet.returns([], o.now, o.now)
     assert {n: r.why for n, r in returned.items()} == {"m0": "idle", "m9": "never came up"}
 
 
@@ -197,7 +197,7 @@
     o.fleet.listed({"slow"}, 3 * US, o.now)  # the list lags: what is new may be missing
     o.fleet.follow(o.now, o.now)
     assert set(o.fleet.booting) == {"slow", "new"}
-    assert set(o.fleet.returns(True, o.now, o.now)) == {"slow"}
+    assert set(o.fleet.returns([], o.now, o.now)) == {"slow"}
 
 
 def test_moves_empty_the_machine_that_wastes_most_if_its_work_fits_on_busy_ones():
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -193,7 +193,7 @@
     w.report("m1", (at["m1"], 1, "exited", "done"))
     w.run()
     assert w.view.jobs["req-1"].state == "done"
-    assert w.owner.machines["m2"].free().cpus == 12
+    assert w.owner.machines["m2"].free(w.view.scarce).cpus == 12
 
 
 def test_gang_whose_end_was_not_written_is_running_again_and_ends_again():
@@ -388,7 +388,7 @@
         w.step()
         w.put(key, value)
         assert not w.starts(w.commit())
-        assert not w.owner.machines["m1"].attempts and w.owner.machines["m1"].free().cpus == 32
+        assert not w.owner.machines["m1"].attempts and w.owner.machines["m1"].free(w.view.scarce).cpus == 32
 
 
 def test_owner_keeps_the_room_of_a_wide_gang_and_starts_its_share_once():
