--- /dev/null
+++ b/pearstep/core/guarantee.py
@@ -0,0 +1,62 @@
+"""Which jobs are within their team's guarantee, as the protocol counts it ("How aims are counted"): a job
+that fits into the guarantee together with the team's earlier jobs that are not finished.
+
+Earlier jobs only ever end, so a job that is within its team's guarantee stays so: the order that follows from
+it does not swing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from .job import Job
+from .model import EPS, Spec, Team
+from .records import QUEUED
+
+
+def fits(team: Team, cpus: float, gpus: float) -> bool:
+    """Whether so much is within the team's guarantee; a resource without one is not counted."""
+    return (not team.cpus or cpus <= team.cpus + EPS) and (not team.gpus or gpus <= team.gpus + EPS)
+
+
+def counts(team: Team | None, spec: Spec) -> bool:
+    """Whether the team's guarantee says anything about such a job: it uses what is guaranteed."""
+    return team is not None and bool((team.cpus and spec.cpus) or (team.gpus and spec.gpus))
+
+
+def within(jobs: Iterable[Job], teams: Mapping[str, Team]) -> frozenset[str]:
+    """The ids of the jobs that are within their teams' guarantees, of all that are open."""
+    out: set[str] = set()
+    used: dict[str, tuple[float, float]] = {}
+    for job in sorted((j for j in jobs if j.state == QUEUED), key=lambda j: (j.at_us, j.spec.ref)):
+        spec = job.spec
+        team = teams.get(spec.team)
+        if team is None or not (team.cpus or team.gpus):
+            continue
+        cpus, gpus = used.get(spec.team, (0.0, 0.0))
+        cpus += spec.tasks * spec.cpus
+        gpus += spec.tasks * spec.gpus
+        used[spec.team] = (cpus, gpus)
+        if counts(team, spec) and fits(team, cpus, gpus):
+            out.add(spec.ref)
+    return frozenset(out)
+
+
+class Guarantees:
+    """The reckoning, made anew only when a job has come or ended."""
+
+    def __init__(self, teams: Mapping[str, Team] | None = None, within_us: int = 0) -> None:
+        self.teams = teams or {}
+        self.within_us = within_us
+        self._jobs: frozenset[str] = frozenset()
+        self._of: tuple[int, int] | None = None
+
+    def starts_within(self, ref: str, jobs: Mapping[str, Job], changes: int) -> int:
+        """The time within which the job is to start since it is within its team's guarantee; 0: it is not.
+        ``changes`` counts how often ``jobs`` have changed."""
+        if not self.within_us:
+            return 0
+        if self._of != (changes, len(jobs)):
+            self._of = (changes, len(jobs))
+            self._jobs = within(jobs.values(), self.teams)
+        return self.within_us if ref in self._jobs else 0
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -64,7 +64,9 @@
         jobs = [j for j in self.view.open.values() if j.waits or (j.wide and j.state == QUEUED)]
         jobs = [j for j in jobs if not self._rests(j, now_us)]
         jobs.sort(key=lambda j: (
-            j.spec.ref in self.faulty, rank(j.spec, j.at_us, wall_us, self.aims), j.at_us, j.spec.ref
+            j.spec.ref in self.faulty,
+            rank(j.spec, j.at_us, wall_us, self.aims, self.view.starts_within(j.spec.ref)),
+            j.at_us, j.spec.ref,
         ))  # fmt: skip
         return jobs
 
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -47,13 +47,16 @@
 Aims = Mapping[str, tuple[int, ...]]
 
 
-def rank(spec: Spec, at_us: int, wall_us: int, aims: Aims) -> int:
+def rank(spec: Spec, at_us: int, wall_us: int, aims: Aims, guaranteed_us: int = 0) -> int:
     """The order in which jobs are served before arrival counts: priority, then the time by which the job
-    is still to start. Operators state within which times a class is to start; once the first has passed
-    the next one counts, so that what is late already does not make everything else late too. What has
-    missed them all comes to its turn as it ages; classes without such aims come last."""
+    is still to start. Operators state within which times a class is to start, and a job within its team's
+    guarantee (``guaranteed_us``; 0: it is not); once the first has passed the next one counts, so that what
+    is late already does not make everything else late too. What has missed them all comes to its turn as it
+    ages; jobs without such aims come last."""
     due_us = NEVER_US - 1
     within = aims.get(spec.cls)
+    if guaranteed_us:
+        within = tuple(sorted({guaranteed_us, *(within or ())}))
     if within:
         waited = wall_us - at_us
         due_us = at_us + next((w for w in within if waited < w), 2 * within[-1])
--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -76,7 +76,8 @@
     ) -> None:
         spec = job.spec
         resting_us = max(self.troubles.not_before(spec.ref), self.yielded.get(spec.ref, 0))
-        order = (rank(spec, job.at_us, wall_us, self.cfg.aims), job.at_us, spec.ref)
+        guaranteed_us = self.view.starts_within(spec.ref)
+        order = (rank(spec, job.at_us, wall_us, self.cfg.aims, guaranteed_us), job.at_us, spec.ref)
         suspect = self.troubles.suspect(spec.ref)
         if suspect:
             # Probably submitted with a mistake: after everything else, and with one task, to see.
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from .guarantee import Guarantees
 from .job import Job, Placed, Route
 from .model import from_ranges
 from .records import (
@@ -38,12 +39,14 @@
 class Holder:
     """Who holds a part or the lead, and since which revision: the token."""
 
-    __slots__ = ("node", "stamp", "version")
+    __slots__ = ("node", "stamp", "version", "since_us")
 
-    def __init__(self, node: str, stamp: int, version: int = 0) -> None:
+    def __init__(self, node: str, stamp: int, version: int = 0, since_us: int = 0) -> None:
         self.node = node
         self.stamp = stamp
         self.version = version
+        # When this replica learned of it.
+        self.since_us = since_us
 
 
 class View:
@@ -54,6 +57,8 @@
         self.stamps: dict[str, int] = {}
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}
+        # How often jobs have come, or ceased to be queued: what is reckoned from them stands till then.
+        self.changes = 0
         self.machines: dict[str, tuple[int, MachineRec]] = {}
         self.drains: dict[str, DrainRec] = {}
         self.hires: dict[str, HireRec] = {}
@@ -76,6 +81,8 @@
         self.touched: set[str] = set()
         # Machines that are kept for work that can be nowhere else, by the jobs that came.
         self.scarce = Scarce()
+        # Jobs within their teams' guarantees; whoever has the settings says what these are.
+        self.guarantees = Guarantees()
 
     def stamp(self, key: str) -> int:
         """The last known revision of a key, 0 if it does not exist."""
@@ -159,6 +166,7 @@
             job = self.jobs.get(path[0])
             if job is None:
                 job = self.jobs[path[0]] = Job(rec, stamp, now_us)
+                self.changes += 1
                 self.scarce.note(rec.spec, now_us)
                 if rec.part is not None:
                     # Any record of a route has a later revision than none and takes its place.
@@ -172,6 +180,7 @@
                         self._apply(late_key, late_stamp, late_rec, now_us)
             else:
                 job.update(rec, stamp)
+                self.changes += 1
                 if job.vacated:
                     for where, placed in job.places.items():
                         job.places[where] = empty = placed.vacated()
@@ -211,9 +220,9 @@
             self.hires[path[0]] = rec
         elif isinstance(rec, HolderRec):
             if path:
-                self.parts[int(path[0])] = Holder(rec.node, stamp, rec.v)
+                self.parts[int(path[0])] = Holder(rec.node, stamp, rec.v, now_us)
             else:
-                self.leader = Holder(rec.node, stamp, rec.v)
+                self.leader = Holder(rec.node, stamp, rec.v, now_us)
         elif isinstance(rec, LayoutRec):
             self.layout = rec
 
@@ -235,6 +244,10 @@
                 self.on.setdefault(place.machine, {})[ref, task] = place
         job.recount()
 
+    def starts_within(self, ref: str) -> int:
+        """Within which time an open job is to start for its team's guarantee; 0 if it is not within it."""
+        return self.guarantees.starts_within(ref, self.open, self.changes)
+
     def _keep(self, ref: str, key: str, stamp: int, rec: RouteRec | PlaceRec) -> None:
         self.orphans.setdefault(ref, []).append((key, stamp, msgspec.json.encode(rec)))
 
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -10,6 +10,7 @@
 import msgspec
 from tornado.httputil import HTTPServerRequest
 
+from ..core.guarantee import Guarantees
 from ..core.model import MachineType
 from ..core.owner import Owner
 from ..core.view import View
@@ -59,6 +60,7 @@
             Budget(limits.cloud.rps * 0.75, max(limits.cloud.rps, 1.0), now_us),
         )  # fmt: skip
         self.view = View()
+        self.view.guarantees = Guarantees(settings.teams, settings.guarantee_us)
         self.types: dict[str, MachineType] = {}
         self.owners: dict[int, Owner] = {}
         self.dirty = asyncio.Event()
--- a/pearstep/node/settings.py
+++ b/pearstep/node/settings.py
@@ -211,6 +211,9 @@
         # Within which times of its submission a class is to start, and the classes for which that is soon.
         waits = [(o.cls, int(o.within_s * US)) for o in params.objectives if o.kind == "wait"]
         self.aims = {cls: tuple(sorted(w for c, w in waits if c == cls)) for cls, _ in waits}
+        # The time within which work within a team's guarantee is to start; 0 if nothing is said of it.
+        guaranteed = [int(o.within_s * US) for o in params.objectives if o.kind == "guarantee"]
+        self.guarantee_us = min(guaranteed, default=0)
         urgent_us = int(tuning.backfilling.urgent_s * US)
         self.urgent = frozenset(cls for cls, within in self.aims.items() if within[0] <= urgent_us)
         # A transaction needs all its changes in the budget at once. Seen: one of 16 changes, refused again
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -101,6 +101,7 @@
         self.now = 100 * US
         self.view = View()
         self.hold({0: ("n0", 5), 1: ("n1", 6), 2: ("n2", 7)})
+        self.now += 10 * US
         clock = lambda: self.now  # noqa: E731
         self.workers = Workers(
             None, self.view, {}, "n1", 3, [], clock, clock, lambda: None, int(detour_s * US)
@@ -109,7 +110,7 @@
 
     def hold(self, holders):
         for part, (node, stamp) in holders.items():
-            self.view.put(f"part/{part}", stamp, msgspec.json.encode(HolderRec(node)), 0)
+            self.view.put(f"part/{part}", stamp, msgspec.json.encode(HolderRec(node)), self.now)
 
     def comes(self, token):
         """The status and where the worker is sent."""
@@ -135,6 +136,16 @@
     assert door.comes(5) == (421, "n2")
 
 
+def test_worker_that_a_new_holder_has_only_sent_its_token_to_is_sent_there():
+    door = Door()
+    door.hold({0: ("n2", 9), 2: ("n0", 10)})
+    assert door.comes(9) == (421, "n2")
+    door.now += 4 * US
+    assert door.comes(9) == (421, "n2")
+    door.now += 7 * US
+    assert door.comes(9) == (421, "n0")  # it has been with it, and comes back without an answer
+
+
 def test_worker_that_was_not_with_the_holder_yet_is_sent_to_it():
     door = Door()
     assert door.comes(3) == (421, "n0")
@@ -144,6 +155,7 @@
     assert door.comes(5) == (503, None)
     door = Door()
     door.hold({2: ("n0", 8)})
+    door.now += 10 * US
     assert door.comes(5) == (503, None)  # there is no third node: the next one, a second later
 
 
