--- a/pearstep/core/bounds.py
+++ b/pearstep/core/bounds.py
@@ -54,22 +54,21 @@
     handover_us: int
 
 
-def _report_gap(report_us: int) -> int:
-    """Reports come every ``report_us``, give or take a quarter."""
-    return report_us * 5 // 4
-
-
 def derive(
     worker_lease_us: int, report_us: int, lease_us: int, takeover_us: int, silent_us: int
 ) -> Bounds:
     """The bounds for workers with this lease and these pauses between reports; the last three are the longest
     that the operators allow."""
-    fixed_us = LATE_US + CLAIM_US + 2 * TURN_US + RETRY_US + _report_gap(report_us)
-    left_us = max(worker_lease_us - worker_lease_us // MARGIN - fixed_us, 0)
+    usable_us = worker_lease_us - worker_lease_us // MARGIN
+    # Reports come every ``report_us``, give or take a quarter.
+    gap_us = report_us * 5 // 4
+    # From the end of a holder's lease and patience to the first answer of the next one.
+    way_us = LATE_US + CLAIM_US + 2 * TURN_US + RETRY_US
+    finding_us = UNANSWERED_US + RETRY_US + gap_us
+    left_us = max(usable_us - way_us - gap_us, 0)
     # Two parts for the lease, which standing still, slow answers and renewals all live on, one for patience.
     lease_us = max(min(lease_us, left_us * 2 // 3), SHORTEST_US)
     takeover_us = min(takeover_us, left_us // 3)
-    finding_us = UNANSWERED_US + RETRY_US + _report_gap(report_us)
     return Bounds(
         lease_us=lease_us,
         takeover_us=takeover_us,
@@ -80,9 +79,7 @@
         gap_us=min(GAP_US, lease_us // 2),
         # A node cut from its workers learns it from those that knock at its peers' doors, after they had no
         # answer. Seen at leases of 10 s: two more seconds for certainty, and 322 tasks died on a day of cuts.
-        agreed_us=min(max(
-            worker_lease_us - worker_lease_us // MARGIN - finding_us - LOOK_US - CLAIM_US - RETRY_US, TWICE_US
-        ), AGREED_US),
+        agreed_us=min(max(usable_us - finding_us - LOOK_US - CLAIM_US - RETRY_US, TWICE_US), AGREED_US),
         detour_us=min(worker_lease_us // 3, UNANSWERED_US),
-        handover_us=lease_us + LATE_US + takeover_us + CLAIM_US + 2 * TURN_US + RETRY_US,
+        handover_us=lease_us + takeover_us + way_us,
     )
--- a/pearstep/core/fleet.py
+++ b/pearstep/core/fleet.py
@@ -152,7 +152,7 @@
             if known is None or name in self.view.drains or known[1].type not in self.types:
                 continue
             mtype, spot = self.types[known[1].type], known[1].spot
-            rooms = {h: self._none(mtype, spot) for h in horizons}
+            rooms = {h: self.view.scarce.none_of(mtype, spot) for h in horizons}
             for (ref, _), place in places.items():
                 job = self.view.jobs[ref]
                 ran = wall_us - place.at_us
@@ -165,14 +165,6 @@
             out.append(Offer(mtype, known[1].zone, spot, rooms))
         return out
 
-    def _none(self, mtype: MachineType, spot: bool) -> Room:
-        """No room yet on such a machine; what work frees there that could be elsewhere is for such work."""
-        scarce = self.view.scarce
-        room = Room(0, 0, 0)
-        if scarce.rest_of(mtype.name, spot) is not None:
-            room.rest = scarce.bounded(Room(0, 0, 0), mtype.name)
-        return room
-
     def wishes(self, unplaced: list[tuple[Job, int]], now_us: int, wall_us: int) -> list[Wish]:
         """What to rent for tasks that find no room, beyond what is booting already."""
         coming: list[Offer] = []
@@ -241,16 +233,16 @@
             if not type_allowed(spec, mtype):
                 continue
             holds = room_of(mtype).how_many(spec, left)
+            kinds = [
+                spot for spot in (True, False)
+                if (spec.spot or not spot) and self._worth(spec, mtype, spot, most[spot])
+            ]  # fmt: skip
             for zone in mtype.zones:
                 if zone not in self.zones or (spec.zone is not None and zone != spec.zone):
                     continue
-                for spot in (True, False) if spec.spot else (False,):
+                for spot in kinds:
                     if self.refused.get((mtype.name, zone, spot), 0) > now_us:
                         continue
-                    if self.view.scarce.kept_from(spec, mtype.name, spot):
-                        continue
-                    if self._place_price(spec, mtype, spot) > most[spot]:
-                        continue
                     kind = (mtype.name, zone, spot)
                     cost = (
                         (mtype.spot_price if spot else mtype.price) / holds,
@@ -271,14 +263,20 @@
             self._place_price(spec, t, spot) for t in self.types.values() if type_allowed(spec, t)
         )
 
+    def _worth(self, spec: Spec, mtype: MachineType, spot: bool, most: float) -> bool:
+        """Whether such a machine is for the job at all, and at its price; ``most`` a place, an hour."""
+        return (
+            not self.view.scarce.kept_from(spec, mtype.name, spot)
+            and self._place_price(spec, mtype, spot) <= most
+        )
+
     def _serves(self, spec: Spec, known: MachineRec) -> bool:
         """Whether an empty machine is of use to the job."""
         mtype = self.types.get(known.type)
         return (
-            mtype is not None and type_allowed(spec, mtype) and spec.zone in (None, known.zone)
-            and (spec.spot or not known.spot)
-            and not self.view.scarce.kept_from(spec, mtype.name, known.spot)
-            and self._place_price(spec, mtype, known.spot) <= self._most(spec, known.spot)
+            mtype is not None and type_allowed(spec, mtype)
+            and self._whole(known.type, known.zone, known.spot).allows(spec)
+            and self._worth(spec, mtype, known.spot, self._most(spec, known.spot))
         )  # fmt: skip
 
     def _place_price(self, spec: Spec, mtype: MachineType, spot: bool) -> float:
--- a/pearstep/core/guarantee.py
+++ b/pearstep/core/guarantee.py
@@ -10,18 +10,13 @@
 from collections.abc import Iterable, Mapping
 
 from .job import Job
-from .model import EPS, Spec, Team
+from .model import Spec, Team
 from .records import QUEUED
 
 
-def fits(team: Team, cpus: float, gpus: float) -> bool:
-    """Whether so much is within the team's guarantee; a resource without one is not counted."""
-    return (not team.cpus or cpus <= team.cpus + EPS) and (not team.gpus or gpus <= team.gpus + EPS)
-
-
-def counts(team: Team | None, spec: Spec) -> bool:
+def counts(team: Team, spec: Spec) -> bool:
     """Whether the team's guarantee says anything about such a job: it uses what is guaranteed."""
-    return team is not None and bool((team.cpus and spec.cpus) or (team.gpus and spec.gpus))
+    return bool((team.cpus and spec.cpus) or (team.gpus and spec.gpus))
 
 
 def within(jobs: Iterable[Job], teams: Mapping[str, Team]) -> frozenset[str]:
@@ -37,7 +32,7 @@
         cpus += spec.tasks * spec.cpus
         gpus += spec.tasks * spec.gpus
         used[spec.team] = (cpus, gpus)
-        if counts(team, spec) and fits(team, cpus, gpus):
+        if counts(team, spec) and team.within_guarantee(cpus, gpus):
             out.add(spec.ref)
     return frozenset(out)
 
@@ -49,14 +44,14 @@
         self.teams = teams or {}
         self.within_us = within_us
         self._jobs: frozenset[str] = frozenset()
-        self._of: tuple[int, int] | None = None
+        self._of = -1
 
     def starts_within(self, ref: str, jobs: Mapping[str, Job], changes: int) -> int:
         """The time within which the job is to start since it is within its team's guarantee; 0: it is not.
         ``changes`` counts how often ``jobs`` have changed."""
         if not self.within_us:
             return 0
-        if self._of != (changes, len(jobs)):
-            self._of = (changes, len(jobs))
+        if self._of != changes:
+            self._of = changes
             self._jobs = within(jobs.values(), self.teams)
         return self.within_us if ref in self._jobs else 0
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -89,9 +89,15 @@
 
     def within_limit(self, cpus: float, gpus: float) -> bool:
         """Whether the team may use this much at the same time."""
-        return (not self.cpus_max or cpus <= self.cpus_max + EPS) and (
-            not self.gpus_max or gpus <= self.gpus_max + EPS
-        )
+        return _under(cpus, self.cpus_max) and _under(gpus, self.gpus_max)
+
+    def within_guarantee(self, cpus: float, gpus: float) -> bool:
+        """Whether so much is within the team's guarantee; a resource without one is not counted."""
+        return _under(cpus, self.cpus) and _under(gpus, self.gpus)
+
+
+def _under(amount: float, bound: float) -> bool:
+    return not bound or amount <= bound + EPS
 
 
 class Rest:
--- a/pearstep/core/scarce.py
+++ b/pearstep/core/scarce.py
@@ -11,7 +11,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
+from functools import partial
 
 from .capacity import Shape, shape_of
 from .model import US, MachineType, Rest, Room, Spec, room_of
@@ -32,9 +33,9 @@
         # A job of each shape, when the last one came and how many did; last seen last.
         self._seen: dict[Shape, tuple[Spec, int, int]] = {}
         self._types: dict[str, MachineType] = {}
-        self._kept: dict[str, tuple[Room, bool]] = {}
+        # By type what is left beside a whole task (CPUs, accelerators, memory), and whether that may be spot.
+        self._kept: dict[str, tuple[float, float, float, bool]] = {}
         self._elsewhere: dict[tuple[str, Shape], bool] = {}
-        self._asks: dict[str, Callable[[Spec], bool]] = {}
         self._count_us = -REMEMBERED_US
         self._due = False
         # Counts the changes of what is kept, for those who keep rooms from pass to pass.
@@ -73,23 +74,17 @@
             able = [t for t in self._types.values() if type_allowed(spec, t)]
             if len(able) != 1 or len(self._types) < 2 or room_of(able[0]).how_many(spec, 2) != 1:
                 continue
-            mtype = able[0]
-            rest = room_of(mtype)
+            rest = room_of(able[0])
             rest.take(spec)
-            known = self._kept.get(mtype.name)
+            left = (rest.cpus, rest.gpus, rest.memory_gb, spec.spot)
+            known = self._kept.get(able[0].name)
             if known is not None:
-                rest = Room(
-                    min(rest.cpus, known[0].cpus), min(rest.gpus, known[0].gpus),
-                    min(rest.memory_gb, known[0].memory_gb),
-                )  # fmt: skip
-            self._kept[mtype.name] = (rest, spec.spot or (known is not None and known[1]))
-        if self._told(before) != self._told(self._kept):
+                cpus, gpus, memory_gb = map(min, left, known[:3])
+                left = (cpus, gpus, memory_gb, spec.spot or known[3])
+            self._kept[able[0].name] = left
+        if before != self._kept:
             self.version += 1
 
-    @staticmethod
-    def _told(kept: dict[str, tuple[Room, bool]]) -> dict[str, tuple[float, float, float, bool]]:
-        return {name: (r.cpus, r.gpus, r.memory_gb, spot) for name, (r, spot) in kept.items()}
-
     def elsewhere(self, spec: Spec, name: str) -> bool:
         """Whether the job could run on machines of another type than this one."""
         key = (name, shape_of(spec))
@@ -104,27 +99,23 @@
 
     def kept_from(self, spec: Spec, name: str, spot: bool) -> bool:
         """Whether machines of this kind are kept for others than this job."""
-        kept = self._kept.get(name)
-        return kept is not None and (kept[1] or not spot) and self.elsewhere(spec, name)
+        return self.rest_of(name, spot) is not None and self.elsewhere(spec, name)
 
     def rest_of(self, name: str, spot: bool) -> Room | None:
         """What a machine of this kind has for work that could run elsewhere; None: all that it has."""
         kept = self._kept.get(name)
-        return kept[0].copy() if kept is not None and (kept[1] or not spot) else None
+        return Room(*kept[:3]) if kept is not None and (kept[3] or not spot) else None
 
     def room_of(self, mtype: MachineType, spot: bool) -> Room:
         """All the room that such a machine has, with what of it is for whom."""
-        room = room_of(mtype)
-        rest = self.rest_of(mtype.name, spot)
+        return self._shared(room_of(mtype), self.rest_of(mtype.name, spot), mtype.name)
+
+    def none_of(self, mtype: MachineType, spot: bool) -> Room:
+        """No room yet on such a machine; what work frees there that could be elsewhere is for such work."""
+        kept = self.rest_of(mtype.name, spot) is not None
+        return self._shared(Room(0, 0, 0), Room(0, 0, 0) if kept else None, mtype.name)
+
+    def _shared(self, room: Room, rest: Room | None, name: str) -> Room:
         if rest is not None:
-            room.rest = self.bounded(rest, mtype.name)
+            room.rest = Rest(rest, partial(self.elsewhere, name=name))
         return room
-
-    def bounded(self, room: Room, name: str) -> Rest:
-        """This much of a machine of this type is for work that could run elsewhere."""
-        ask = self._asks.get(name)
-        if ask is None:
-            def ask(spec: Spec, name: str = name) -> bool:
-                return self.elsewhere(spec, name)
-            self._asks[name] = ask
-        return Rest(room, ask)
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -57,7 +57,7 @@
         self.stamps: dict[str, int] = {}
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}
-        # How often jobs have come, or ceased to be queued: what is reckoned from them stands till then.
+        # How often records of jobs have changed: what is reckoned from them stands till then.
         self.changes = 0
         self.machines: dict[str, tuple[int, MachineRec]] = {}
         self.drains: dict[str, DrainRec] = {}
@@ -143,6 +143,7 @@
 
     def _forget(self, ref: str) -> None:
         """A finished job has left its record: whoever is asked for it looks into the history."""
+        self.changes += 1
         job = self.jobs.pop(ref, None)
         self.open.pop(ref, None)
         if job is None:
@@ -163,10 +164,10 @@
     def _apply(self, key: str, stamp: int, rec: object, now_us: int) -> None:
         _, *path = key.split("/")
         if isinstance(rec, JobRec):
+            self.changes += 1
             job = self.jobs.get(path[0])
             if job is None:
                 job = self.jobs[path[0]] = Job(rec, stamp, now_us)
-                self.changes += 1
                 self.scarce.note(rec.spec, now_us)
                 if rec.part is not None:
                     # Any record of a route has a later revision than none and takes its place.
@@ -180,7 +181,6 @@
                         self._apply(late_key, late_stamp, late_rec, now_us)
             else:
                 job.update(rec, stamp)
-                self.changes += 1
                 if job.vacated:
                     for where, placed in job.places.items():
                         job.places[where] = empty = placed.vacated()
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..core.bounds import TURN_US
+from ..core.bounds import CLAIM_US, LOOK_US, TURN_US
 from ..core.model import MachineType
 from ..core.owner import Owner
 from ..core.reach import LACKING, STATE, WOKEN
@@ -106,7 +106,7 @@
 
     async def look(self) -> None:
         """One look at how the node stands, and what follows from it."""
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(LOOK_US / US)
         before = self.reach.state
         self.watch.loaded = self.follower.loaded
         await self.watch.look()
@@ -156,7 +156,7 @@
 
     async def claim(self) -> None:
         """One round of claiming: the home part, a lead that nobody has, parts of the dead."""
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(CLAIM_US / US)
         if not self.follower.loaded or not self.types or self.lease is None:
             return
         if self.store.refused_since is not None:
@@ -176,7 +176,7 @@
             lead = self.view.leader
             if lead is None or lead.node == self.node:
                 if lead is None and home:
-                    await asyncio.sleep(0.3 * home)
+                    await asyncio.sleep(TURN_US / US * home)
                 if self.view.leader is lead:
                     await self._claim("leader")
         for part, since in list(self.part_gone.items()):
--- a/tests/test_scarce.py
+++ b/tests/test_scarce.py
@@ -120,13 +120,18 @@
     assert sorted(placed) == ["req-1", "req-2"]
 
 
-def test_kept_machines_are_not_rented_for_small_work_and_frees_count_for_their_own():
+def short_of(tasks):
+    """An office without machines where a whole job waits, and a small one of so many tasks; what is short."""
     o = Office()
     regular(o.view)
     o.submit(WHOLE)
-    o.submit(spec("req-2", tasks=9, cpus=4.0, memory_gb=20.0), at=1)
+    o.submit(spec("req-2", tasks=tasks, cpus=4.0, memory_gb=20.0), at=1)
     o.route()
-    short = o.leader.unplaced + o.leader.placeless
+    return o, o.leader.unplaced + o.leader.placeless
+
+
+def test_kept_machines_are_not_rented_for_small_work_and_frees_count_for_their_own():
+    o, short = short_of(9)
     for zone in ZONES:
         o.fleet.note_refusal(("small", zone, False), o.now)
     assert {w.type for w in o.fleet.wishes(short, o.now, o.now)} == {"big"}
@@ -178,11 +183,7 @@
 
 
 def test_a_rental_under_way_counts_whole_for_whom_it_is_kept():
-    o = Office()
-    regular(o.view)
-    o.submit(WHOLE)
-    o.submit(spec("req-2", tasks=2, cpus=4.0, memory_gb=20.0), at=1)
-    o.route()
+    o, short = short_of(2)
     o.put("h/r-1-1", HireRec("big", "a", False, 1, o.now))
-    wishes = o.fleet.wishes(o.leader.unplaced + o.leader.placeless, o.now, o.now)
+    wishes = o.fleet.wishes(short, o.now, o.now)
     assert {w.type for w in wishes} == {"small"}
