A rig in which several machines fail; workers are not sent by an old view

Found with it: two controllers without state service and peers named one another, each by its own old view, and workers went to and fro until their leases were over.

--- /dev/null
+++ b/measurements/rig/checker.py
@@ -0,0 +1,217 @@
+"""Judges what users, workers and cloud saw by the rules of the protocol (PROTOCOL, "Rules", and what the
+operators added): a list of broken rules, each with its time. It knows nothing of the controllers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from math import ceil
+
+from pearstep.core.model import Spec, Team
+
+Key = tuple[str, int]
+# A job about which no question is answered for so long once all troubles are over counts as forgotten.
+FORGOTTEN_S = 75.0
+# While other polls are answered.
+UNANSWERED_S = 90.0
+# The largest jobs of a class are its upper tenth; they, too, begin within four minutes.
+LARGEST_BEGIN_S = 240.0
+
+
+class Seen:
+    """What a user has seen of a job. ``told``: the last final answer."""
+
+    def __init__(self, spec: Spec, at_s: float) -> None:
+        self.spec = spec
+        self.at_s = at_s
+        self.accepted_s: float | None = None
+        self.refused = False
+        self.told = ""
+        self.wish_s: float | None = None
+        self.cancelled_s: float | None = None
+        self.answered_s = at_s
+        self.asked = 0
+        self.begun_s: float | None = None
+
+
+class Checker:
+    """All that is judged while it happens, and at the end."""
+
+    def __init__(self, teams: dict[str, Team], cancel_s: float) -> None:
+        self.teams = teams
+        self.cancel_s = cancel_s
+        self.jobs: dict[str, Seen] = {}
+        self.where: dict[str, dict[tuple[str, int], tuple[str, str]]] = {}
+        self.done_tasks: dict[str, set[int]] = {}
+        self.used: dict[str, list[float]] = {name: [0.0, 0.0] for name in teams}
+        self.broken: list[str] = []
+        self.trace: list[str] = []
+        self.starts = 0
+        self.killed = 0
+        self.kinds: Counter[str] = Counter()
+        self.answered_s: list[float] = []
+        # When the last trouble is over.
+        self.calm_s = 1e18
+
+    def note(self, at_s: float, text: str) -> None:
+        """Something worth reading in a trace."""
+        self.trace.append(f"{at_s:9.3f} {text}")
+
+    def breaks(self, at_s: float, rule: str, text: str) -> None:
+        """A rule is broken."""
+        self.broken.append(f"{rule}: {text} at {at_s:.3f}")
+        self.kinds[rule] += 1
+        self.note(at_s, f"BROKEN {rule} {text}")
+
+    # -- machines --------------------------------------------------------------------------------
+
+    def arrived(
+        self, at_s: float, machine: str, mtype: str, zone: str, spot: bool, key: Key, spec: Spec
+    ) -> None:
+        """A task is on a machine."""
+        self.starts += 1
+        self.note(at_s, f"{key[0]} try {key[1]} on {machine}")
+        task = key[0]
+        there = self.where.setdefault(task, {})
+        if any(m != machine for m, _ in there):
+            self.breaks(at_s, "ran_twice", f"{task} on {machine} while on {[m for m, _ in there]}")
+        there[machine, key[1]] = (zone, spec.ref)
+        used = self.used[spec.team]
+        if len(there) == 1:
+            used[0] += spec.cpus
+            used[1] += spec.gpus
+        if not self.teams[spec.team].within_limit(*used):
+            self.breaks(at_s, "quota", f"{spec.team} uses {used}")
+        if (
+            (spec.types is not None and mtype not in spec.types) or (spot and not spec.spot)
+            or (spec.zone is not None and zone != spec.zone)
+        ):  # fmt: skip
+            self.breaks(at_s, "wrong_place", f"{task} on {machine} {mtype} {zone} spot {spot}")
+        zones = [
+            z for other, places in self.where.items() if other.partition("/")[0] == spec.ref
+            for z, _ in list(places.values())[:1]
+        ]  # fmt: skip
+        if spec.one_zone and len(set(zones)) > 1:
+            self.breaks(at_s, "wrong_place", f"{task} in {zone}, its job in {sorted(set(zones))}")
+        if spec.spread and zones.count(zone) > ceil(spec.tasks / 2):
+            self.breaks(at_s, "wrong_place", f"{task}: {zones.count(zone)} of {spec.tasks} in {zone}")
+        seen = self.jobs.get(spec.ref)
+        if seen is not None and seen.cancelled_s is not None and at_s > seen.cancelled_s + self.cancel_s:
+            self.breaks(at_s, "ran_cancelled", f"{task} starts on {machine}")
+
+    def left(self, machine: str, key: Key, spec: Spec) -> None:
+        """It is gone from the machine."""
+        there = self.where.get(key[0], {})
+        if there.pop((machine, key[1]), None) is not None and not there:
+            self.used[spec.team][0] -= spec.cpus
+            self.used[spec.team][1] -= spec.gpus
+            del self.where[key[0]]
+
+    def began(self, at_s: float, key: Key, spec: Spec) -> None:
+        """It runs."""
+        seen = self.jobs.get(spec.ref)
+        if seen is not None and seen.begun_s is None:
+            seen.begun_s = at_s
+
+    def done(self, ref: str, number: int) -> None:
+        """A task has completed."""
+        self.done_tasks.setdefault(ref, set()).add(number)
+
+    def look(self, at_s: float) -> None:
+        """What only time shows: tasks of cancelled jobs that stay."""
+        for task, there in self.where.items():
+            seen = self.jobs.get(task.partition("/")[0])
+            if seen is not None and seen.cancelled_s is not None:
+                if at_s > seen.cancelled_s + self.cancel_s + 0.5:
+                    self.breaks(at_s, "ran_cancelled", f"{task} still on {[m for m, _ in there]}")
+                    seen.cancelled_s = 1e18  # said once
+
+    # -- users -----------------------------------------------------------------------------------
+
+    def submitted(self, spec: Spec, at_s: float) -> Seen:
+        """A user submits a job."""
+        return self.jobs.setdefault(spec.ref, Seen(spec, at_s))
+
+    def submit_answer(self, ref: str, status: int, stage: str, at_s: float) -> None:
+        """The answer to a submission or its repeat."""
+        seen = self.jobs[ref]
+        if status in (200, 201):
+            if seen.accepted_s is None:
+                seen.accepted_s = at_s
+            self._answer(seen, stage, at_s)
+        elif status in (400, 422):
+            if seen.accepted_s is not None:
+                self.breaks(at_s, "forgotten", f"repeat of {ref} gets {status}")
+            seen.refused = True
+
+    def poll_answer(self, ref: str, status: int, stage: str, at_s: float) -> None:
+        """The answer to a poll; status 0: none."""
+        seen = self.jobs.get(ref)
+        if seen is None:
+            if status == 200:
+                self.breaks(at_s, "invented", ref)
+            return
+        seen.asked += 1
+        if status == 404 and seen.accepted_s is not None:
+            self.breaks(at_s, "forgotten", f"{ref} gets 404")
+        if status == 200:
+            if not seen.told and at_s - seen.answered_s > UNANSWERED_S and seen.accepted_s is not None:
+                others = sum(s > seen.answered_s for s in self.answered_s[-400:])
+                if others > 50:
+                    self.breaks(at_s, "forgotten", f"{ref} unanswered for {at_s - seen.answered_s:.0f} s")
+            self._answer(seen, stage, at_s)
+
+    def abort_answer(self, ref: str, status: int, stage: str, at_s: float) -> None:
+        """The answer to a cancellation."""
+        seen = self.jobs[ref]
+        if status == 200:
+            self._answer(seen, stage, at_s)
+            if stage == "withdrawn" and seen.cancelled_s is None:
+                seen.cancelled_s = at_s
+        elif status == 404 and seen.accepted_s is not None:
+            self.breaks(at_s, "forgotten", f"cancellation of {ref} gets 404")
+
+    def _answer(self, seen: Seen, stage: str, at_s: float) -> None:
+        ref = seen.spec.ref
+        gap_s = at_s - max(seen.answered_s, self.calm_s, at_s if seen.accepted_s is None else seen.accepted_s)
+        if gap_s > FORGOTTEN_S:
+            self.breaks(at_s, "forgotten", f"{ref} unanswered for {gap_s:.0f} s after all troubles")
+        seen.answered_s = at_s
+        self.answered_s.append(at_s)
+        if seen.told and stage != seen.told:
+            self.breaks(at_s, "went_back", f"{ref} was {seen.told}, now {stage}")
+        if stage == "withdrawn" and seen.wish_s is None:
+            self.breaks(at_s, "went_back", f"{ref} called cancelled, nobody asked")
+        if stage == "done" and len(self.done_tasks.get(ref, ())) < seen.spec.tasks:
+            self.breaks(at_s, "not_done", ref)
+        if stage in ("done", "withdrawn"):
+            seen.told = stage
+
+    # -- at the end ------------------------------------------------------------------------------
+
+    def end(self, at_s: float, ended: bool = True) -> None:
+        """All is over. ``ended``: there was time for all to end."""
+        if not self.starts and self.jobs:
+            self.breaks(at_s, "nothing_ran", "")
+        for ref, seen in self.jobs.items():
+            if seen.accepted_s is None or at_s - max(self.calm_s, seen.accepted_s) < FORGOTTEN_S:
+                continue
+            if at_s - max(self.calm_s, seen.answered_s) > FORGOTTEN_S:
+                self.breaks(at_s, "forgotten", f"{ref} unanswered for {at_s - seen.answered_s:.0f} s")
+            elif ended and not seen.told and seen.spec.kind != "service" and seen.wish_s is None:
+                done = len(self.done_tasks.get(ref, ()))
+                self.breaks(at_s, "not_run", f"{ref} {seen.spec.kind}: {done} of {seen.spec.tasks} done")
+        self._largest(at_s)
+
+    def _largest(self, at_s: float) -> None:
+        """The largest jobs of each class: half of them are served, and begin in time."""
+        for cls in {seen.spec.cls for seen in self.jobs.values()}:
+            jobs = [
+                s for s in self.jobs.values()
+                if s.spec.cls == cls and s.accepted_s is not None and s.wish_s is None
+                and at_s - s.at_s > LARGEST_BEGIN_S
+            ]  # fmt: skip
+            jobs.sort(key=lambda s: -s.spec.tasks)
+            largest = jobs[: max(len(jobs) // 10, 1)]
+            late = [s for s in largest if s.begun_s is None or s.begun_s - s.at_s > LARGEST_BEGIN_S]
+            if len(late) * 2 > len(largest):
+                self.breaks(at_s, "largest", f"{cls}: {len(late)} of {len(largest)} not begun in time")
--- /dev/null
+++ b/measurements/rig/faults.py
@@ -0,0 +1,72 @@
+"""Faults as data: what happens, to whom, when, for how long; and a seed's draw of them."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+# kind: what ``who`` is drawn from, the shortest and longest duration in seconds
+KINDS: dict[str, tuple[str, float, float]] = {
+    "node_crash": ("node", 0, 0),
+    "nodes_crash": ("all", 0, 0),
+    "node_still": ("node", 1, 25),
+    "node_isolated": ("node", 5, 60),
+    "node_refused": ("node", 5, 40),
+    "node_no_workers": ("node", 5, 40),
+    "nodes_apart": ("all", 5, 40),
+    "zone_cut": ("zone", 5, 40),
+    "state_outage": ("all", 2, 25),
+    "cloud_outage": ("all", 2, 25),
+    "machine_dies": ("machine", 0, 0),
+    "machine_hangs": ("machine", 1, 40),
+    "machine_sick": ("machine", 20, 60),
+    "machine_deaf": ("machine", 5, 80),
+    "zone_deaf": ("zone", 5, 40),
+    "machine_mute": ("machine", 5, 60),
+    "machine_reborn": ("machine", 0, 0),
+    "report_copies": ("all", 20, 80),
+    "spot_taken": ("machine", 0, 0),
+    "flood": ("all", 0, 0),
+}
+BACK_S = (0.0, 0.05, 0.2, 0.9, 6.0)
+
+
+class Fault(msgspec.Struct, omit_defaults=True):
+    """``who``: numbers of nodes, zones or machines, drawn from those there are when it begins. ``step``: it
+    begins with so many writes of keys with this prefix after ``at_s``. ``back_s``: after that a process that
+    ended is back; ``again``: it ends once more when it has been back for so long."""
+
+    kind: str
+    at_s: float
+    for_s: float = 0.0
+    who: list[int] = []
+    back_s: float = 6.0
+    again_s: float = 0.0
+    step: str = ""
+    count: int = 0
+    late_s: tuple[float, float] = (1.0, 40.0)
+
+
+def draw(rng: random.Random, from_s: float, until_s: float, kinds: list[str] | None = None) -> list[Fault]:
+    """Three to seven faults; each is over before ``until_s``."""
+    out = []
+    for _ in range(rng.randint(3, 7)):
+        kind = rng.choice(kinds or sorted(KINDS))
+        subject, least_s, most_s = KINDS[kind]
+        for_s = round(rng.uniform(least_s, most_s), 2)
+        fault = Fault(
+            kind, round(rng.uniform(from_s, until_s - for_s), 2), for_s, back_s=rng.choice(BACK_S),
+            again_s=rng.choice([0.0, 0.0, 0.0, 0.05, 0.3, 3.0]),
+        )  # fmt: skip
+        if subject == "machine":
+            fault.who = [rng.randrange(1000) for _ in range(rng.choice([1, 1, 2, 4, 8]))]
+        elif subject != "all":
+            fault.who = [rng.randrange(1000)]
+        if rng.random() < 0.3:
+            fault.step, fault.count = (
+                rng.choice(["part/", "leader", "p/", "h/", "d/", "r/"]),
+                rng.randint(1, 3),
+            )
+        out.append(fault)
+    return sorted(out, key=lambda f: f.at_s)
--- /dev/null
+++ b/measurements/rig/platform.py
@@ -0,0 +1,218 @@
+"""The region's state service and cloud: the stand-ins' own stores behind connections in memory, with the
+protocol's limits, lags, leases and outages."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from pearstep.core.model import MachineType
+from pearstep.links.budget import Budget
+from pearstep.links.http import Answer
+from pearstep.standin.keys import Keys, NoLease
+from pearstep.wire import standin as wire
+from pearstep.wire.standin import offers
+
+from .clock import Life, VirtualLoop
+from .net import Request
+
+TROUBLE: Answer = (503, b'{"error":"trouble"}', {})
+MANY: Answer = (429, b"{}", {})
+
+
+def asked(request: Request) -> dict[str, str]:
+    """The arguments of a query."""
+    return {k: v[0].decode() for k, v in request.arguments.items()}
+
+
+class State:
+    """The state service. ``away``: an outage for all; ``refuses``: nodes that alone get 503."""
+
+    def __init__(self, life: Life, rps: float, write_rps: float, value_kb: float, txn_ops: int) -> None:
+        self.life = life
+        self.keys = Keys(int(value_kb * 1024), txn_ops)
+        self.requests = Budget(rps, rps, life.now_us)
+        self.writes = Budget(write_rps, write_rps, life.now_us)
+        self.away = 0
+        self.refuses: set[str] = set()
+        self.news = asyncio.Event()
+        # Told of each key that was written, and its value; None: deleted.
+        self.steps: list[Callable[[str, bytes | None], None]] = []
+        life.start(self._expire())
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            if not self.away and self.keys.expire(self.life.now_us()):
+                self._tell()
+
+    def outage(self, away: bool) -> None:
+        """An outage begins or ends; when it ends, all leases have their full time again."""
+        self.away += 1 if away else -1
+        if not self.away:
+            for lease in list(self.keys.leases):
+                self.keys.renew(lease, self.life.now_us())
+            self._tell()
+
+    def _tell(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    def door(self, host: str) -> Callable[[Request], object]:
+        """Requests of one host."""
+        return lambda request: self.handle(request, host)
+
+    async def handle(self, request: Request, host: str = "") -> Answer:
+        """One request."""
+        if self.away or host in self.refuses:
+            return TROUBLE
+        if not self.requests.try_take():
+            return MANY
+        try:
+            return await self._handle(request, host)
+        except NoLease:
+            return 400, b'{"error":"no such lease"}', {}
+
+    async def _handle(self, request: Request, host: str) -> Answer:
+        path, keys, args = request.path, self.keys, asked(request)
+        now = self.life.now_us()
+        if path == "/txn":
+            txn = wire.read_txn(request.body)
+            if txn.ops and not self.writes.try_take(len(txn.ops)):
+                return MANY
+            outcome = keys.txn(txn)
+            if isinstance(outcome, list):
+                return 409, wire.conflict(outcome, keys.revision), {}
+            self._tell()
+            for op in txn.ops:
+                for step in self.steps:
+                    step(op.put or op.delete or "", bytes(op.value) if op.put else None)
+            return 200, wire.done(outcome), {}
+        if path == "/kv":
+            found, more = keys.page(
+                args.get("starts", ""), args.get("from", ""), int(args.get("limit", 1000))
+            )
+            return (
+                200,
+                wire.page([wire.pair(k, raw, v, le) for k, v, raw, le in found], more, keys.revision),
+                {},
+            )
+        if path.startswith("/kv/"):
+            one = keys.keys.get(path[4:])
+            if one is None:
+                return 404, wire.done(keys.revision), {}
+            return 200, msgspec.json.encode(wire.pair(path[4:], one[1], one[0], one[2])), {}
+        if path == "/changes":
+            until = now + int(args.get("waitMs", 0)) * 1000
+            while True:
+                log = keys.changes("", int(args["from"]))
+                if log is None:
+                    return 410, wire.done(keys.revision), {}
+                left_s = (until - self.life.now_us()) / 1e6
+                # A watch stays open during an outage, and while its node alone is refused.
+                if (log or left_s <= 0) and not self.away and host not in self.refuses:
+                    return 200, wire.changes(log, keys.revision), {}
+                try:
+                    await asyncio.wait_for(self.news.wait(), max(left_s, 0.2))
+                except TimeoutError:
+                    pass
+        if path == "/leases":
+            return 200, wire.granted(keys.grant(wire.read_lease(request.body).ttl_ms * 1000, now)), {}
+        number = path.removeprefix("/leases/").partition("/")[0]
+        return (200 if keys.renew(int(number), now) else 404), wire.done(keys.revision), {}
+
+
+class Rented:
+    """A machine as the cloud has it."""
+
+    def __init__(self, name: str, mtype: str, zone: str, spot: bool, asked_s: float) -> None:
+        self.name, self.mtype, self.zone, self.spot, self.asked_s = name, mtype, zone, spot, asked_s
+        self.stage = "booting"
+
+
+class Cloud:
+    """The cloud. ``boot`` brings a machine up, ``end`` ends one."""
+
+    def __init__(
+        self, loop: VirtualLoop, life: Life, types: dict[str, MachineType], capacity: int, lag_s: float,
+        rps: float, rng: random.Random, boot: Callable[[Rented], None], end: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        self.loop, self.types, self.capacity, self.lag_s, self.rng = loop, types, capacity, lag_s, rng
+        self.requests = Budget(rps, 2 * rps, life.now_us)
+        self.life = life
+        self.boot, self.end = boot, end
+        self.away = 0
+        self.machines: dict[str, Rented] = {}
+        self.deleted: dict[str, float] = {}
+        self.hires: dict[str, list[str]] = {}
+        self.repeated: list[str] = []
+        self.shown: list[tuple[float, list[tuple[str, str, str, str, bool, str, float]]]] = []
+        life.start(self._picture())
+
+    async def _picture(self) -> None:
+        while True:
+            now = self.loop.time()
+            rows = [
+                (m.name, f"{m.name}:9000", m.mtype, m.zone, m.spot, m.stage, m.asked_s)
+                for m in sorted(self.machines.values(), key=lambda m: m.name)
+            ]
+            self.shown.append((now, rows))
+            while len(self.shown) > 1 and self.shown[1][0] <= now - self.lag_s:
+                self.shown.pop(0)
+            await asyncio.sleep(0.5)
+
+    def rent(self, mtype: str, zone: str, spot: bool, boot_s: float | None = None) -> str:
+        """One machine."""
+        name = f"i-{len(self.machines) + len(self.deleted) + 1:06d}"
+        machine = self.machines[name] = Rented(name, mtype, zone, spot, self.loop.time())
+        if boot_s is None:
+            # At times machines are up within a second, a few take several times as long.
+            usual = self.types[mtype].boot_us / 1e6 * self.rng.uniform(0.6, 1.5)
+            boot_s = self.rng.choice([0.5, usual, usual, usual, usual, 3 * usual])
+        self.loop.call_later(boot_s, self._up, machine, context=self.life.context.copy())
+        return name
+
+    def _up(self, machine: Rented) -> None:
+        if machine.name in self.machines:
+            machine.stage = "running"
+            self.boot(machine)
+
+    def take(self, name: str) -> None:
+        """The machine is gone, by a deletion or because the cloud took it."""
+        if self.machines.pop(name, None) is not None:
+            self.deleted[name] = self.loop.time()
+            self.end(name)
+
+    async def handle(self, request: Request) -> Answer:
+        """One request."""
+        if self.away:
+            return TROUBLE
+        if not self.requests.try_take():
+            return MANY
+        await asyncio.sleep(self.rng.uniform(0.02, 0.15))
+        if request.path == "/flavors":
+            return 200, offers([
+                wire.offer(t.name, t.cpus, t.gpus, t.memory_gb, t.boot_us / 1e6, t.price, list(t.zones))
+                for t in self.types.values()
+            ]), {}  # fmt: skip
+        if request.path == "/hosts/delete":
+            for name in wire.read_delete(request.body).machines:
+                self.take(name)
+            return 200, b"{}", {}
+        if request.method == "GET":
+            at_s, rows = self.shown[0]
+            after = asked(request).get("from", "")
+            rows = [r for r in rows if r[0] > after][:500]
+            return 200, wire.listed([(*r[:6], at_s - r[6]) for r in rows], False), {}
+        wish = wire.read_hire(request.body)
+        if wish.name not in self.hires:
+            room = self.capacity - len(self.machines)
+            if room <= 0:
+                return 503, b'{"error":"no capacity"}', {}
+            self.hires[wish.name] = [
+                self.rent(wish.type, wish.zone, wish.spot) for _ in range(min(room, wish.count))
+            ]
+        return 200, wire.hired(self.hires[wish.name]), {}
--- /dev/null
+++ b/measurements/rig/users.py
@@ -0,0 +1,119 @@
+"""Users and their load balancer. Whoever has submitted a job asks for it until it is over, and each job that
+was accepted is asked for again and again after that: nothing is taken from a sample."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+
+from pearstep.core.model import Spec
+from pearstep.wire.node import CANCEL, JOBS, KIND_IN, PRIORITY_IN, READY, read_submission
+
+from .checker import Checker
+from .clock import VirtualLoop
+from .net import Net
+
+KIND_OUT = {mine: theirs for theirs, mine in KIND_IN.items()}
+RANK_OUT = {number: name for name, number in PRIORITY_IN.items()}
+POLL_S = 5.0
+
+
+def submission(spec: Spec) -> bytes:
+    """What a user sends."""
+    out: dict[str, Any] = {
+        "ref": spec.ref, "cohort": spec.cls, "holder": spec.team, "shape": KIND_OUT[spec.kind],
+        "rank": RANK_OUT[spec.priority], "parcels": spec.tasks, "vcpus": spec.cpus,
+        "accelerators": spec.gpus, "memoryGb": spec.memory_gb, "bundle": spec.image, "sizeGb": spec.image_gb,
+        "breeds": None, "plot": spec.zone, "together": spec.one_zone, "scatter": spec.spread,
+        "windfall": spec.spot, "reckonS": spec.estimate_us / 1e6, "markS": spec.checkpoint_us / 1e6,
+        "stowS": spec.save_us / 1e6, "dueS": None,
+    }  # fmt: skip
+    body = msgspec.json.encode(out)
+    assert read_submission(body) == spec
+    return body
+
+
+class Balancer:
+    """Chooses among the nodes that say they are ready."""
+
+    def __init__(self, net: Net, addrs: list[str], rng: random.Random) -> None:
+        self.net, self.addrs, self.rng = net, addrs, rng
+        self.good = dict.fromkeys(addrs, 0)
+        self.ready = dict.fromkeys(addrs, False)
+        self.out_s = dict.fromkeys(addrs, -10.0)
+
+    async def probe(self, addr: str) -> None:
+        """Ask one node whether it is ready, for ever."""
+        while True:
+            status, _ = await self.net.fetch("balancer", addr, "GET", READY, None, 1.0)
+            now = self.net.loop.time()
+            self.good[addr] = max(self.good[addr], 0) + 1 if status == 200 else min(self.good[addr], 0) - 1
+            if self.ready[addr] and self.good[addr] <= -2:
+                self.ready[addr], self.out_s[addr] = False, now
+            elif not self.ready[addr] and self.good[addr] >= 2 and now - self.out_s[addr] >= 3:
+                self.ready[addr] = True
+            await asyncio.sleep(1.0)
+
+    async def fetch(self, method: str, path: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
+        """A request through the balancer."""
+        able = [a for a in self.addrs if self.ready[a]]
+        self.rng.shuffle(able)
+        for addr in able[:3]:
+            if addr in self.net.endpoints and self.net.endpoints[addr].life.state != "dead":
+                return await self.net.fetch("balancer", addr, method, path, body, timeout_s)
+        return 0, b""
+
+
+def stage_of(body: bytes) -> str:
+    """What an answer says of a job."""
+    try:
+        found = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return ""
+    return str(found.get("stage", "")) if isinstance(found, dict) else ""
+
+
+class User:
+    """Whoever submits one job, follows it, and perhaps cancels it."""
+
+    def __init__(self, loop: VirtualLoop, balancer: Balancer, checker: Checker, spec: Spec) -> None:
+        self.loop, self.balancer, self.checker, self.spec = loop, balancer, checker, spec
+
+    async def live(self, cancel_after_s: float | None) -> None:
+        """From the submission on, for ever."""
+        ref = self.spec.ref
+        seen = self.checker.submitted(self.spec, self.loop.time())
+        body = submission(self.spec)
+        while seen.accepted_s is None and not seen.refused:
+            if self.loop.time() - seen.at_s > 60:
+                return
+            status, data = await self.balancer.fetch("POST", JOBS, body, 5.0)
+            self.checker.submit_answer(ref, status, stage_of(data), self.loop.time())
+            if status not in (200, 201):
+                await asyncio.sleep(1.0)
+        if seen.refused:
+            return
+        if cancel_after_s is not None:
+            asyncio.ensure_future(self._cancel(cancel_after_s))
+        while True:
+            await asyncio.sleep(POLL_S)
+            status, data = await self.balancer.fetch("GET", f"{JOBS}/{ref}", None, 2.0)
+            self.checker.poll_answer(ref, status, stage_of(data), self.loop.time())
+            if self.balancer.rng.random() < 0.02:
+                # A retry may come at any later time.
+                status, data = await self.balancer.fetch("POST", JOBS, body, 5.0)
+                self.checker.submit_answer(ref, status, stage_of(data), self.loop.time())
+
+    async def _cancel(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        seen = self.checker.jobs[self.spec.ref]
+        seen.wish_s = self.loop.time()
+        while not seen.told:
+            path = f"{JOBS}/{self.spec.ref}/{CANCEL}"
+            status, data = await self.balancer.fetch("POST", path, b"", 5.0)
+            self.checker.abort_answer(self.spec.ref, status, stage_of(data), self.loop.time())
+            if status != 200:
+                await asyncio.sleep(1.0)
--- /dev/null
+++ b/measurements/rig/world.py
@@ -0,0 +1,97 @@
+"""What is true whatever the controllers believe: which tasks are where, what has been done and saved, which
+gangs have come together. Everything that happens is told to the checker."""
+
+from __future__ import annotations
+
+from pearstep.core.model import Spec
+
+from .checker import Checker
+from .clock import DEAD, VirtualLoop
+from .worker import Key, SimWorker
+
+
+class World:
+    """The region. ``run_s``: how long a task of a job really takes."""
+
+    def __init__(self, loop: VirtualLoop, checker: Checker, peer_s: float) -> None:
+        self.loop = loop
+        self.checker = checker
+        self.peer_s = peer_s
+        self.uploaded: dict[str, Spec] = {}
+        self.run_s: dict[str, float] = {}
+        self.faulty: set[str] = set()
+        self.done: set[tuple[str, int]] = set()
+        self.progress_s: dict[tuple[str, int], float] = {}
+        self.machines: dict[str, SimWorker] = {}
+        self._gangs: dict[tuple[str, int], dict[int, tuple[SimWorker, Key]]] = {}
+
+    # -- what has been done ----------------------------------------------------------------------
+
+    def is_done(self, ref: str, number: int) -> bool:
+        """Whether the task's result is kept."""
+        return (ref, number) in self.done
+
+    def left_s(self, spec: Spec, number: int) -> float:
+        """How long the task still takes; a gang's progress is that of the job."""
+        return max(self.run_s[spec.ref] - self.progress_s.get(_whose(spec, number), 0.0), 0.05)
+
+    def saved(self, spec: Spec, number: int, ran_s: float) -> None:
+        """The task was saved after it ran for so long."""
+        whose = _whose(spec, number)
+        self.progress_s[whose] = self.progress_s.get(whose, 0.0) + ran_s
+
+    def completed(self, spec: Spec, number: int) -> None:
+        """The task is done; with it, its whole gang."""
+        for n in range(spec.tasks) if spec.kind == "gang" else (number,):
+            self.done.add((spec.ref, n))
+            self.checker.done(spec.ref, n)
+
+    # -- what is where ---------------------------------------------------------------------------
+
+    def arrived(self, worker: SimWorker, key: Key, spec: Spec) -> None:
+        """A task has its image: it is on its machine."""
+        self.checker.arrived(
+            self.loop.time(), worker.name, worker.mtype.name, worker.zone, worker.spot, key, spec
+        )
+
+    def left(self, worker: SimWorker, key: Key, spec: Spec) -> None:
+        """Nothing of the task is on the machine any more."""
+        self.checker.left(worker.name, key, spec)
+        gang = self._gangs.get((spec.ref, key[1]))
+        if gang is not None:
+            gang.pop(_number(key), None)
+            for mate, its in gang.values():
+                if mate.life.state != DEAD:
+                    mate.life.soon(mate.lost_mate, its)
+
+    def began(self, worker: SimWorker, key: Key, spec: Spec) -> None:
+        """A task runs."""
+        self.checker.began(self.loop.time(), key, spec)
+
+    def lease_over(self, machine: str, tasks: list[Key]) -> None:
+        """A worker's lease ended; it has killed these."""
+        self.checker.note(self.loop.time(), f"{machine} lease over, killed {len(tasks)}")
+        self.checker.killed += len(tasks)
+
+    # -- gangs -----------------------------------------------------------------------------------
+
+    def gather(self, worker: SimWorker, key: Key, spec: Spec) -> list[tuple[SimWorker, Key]]:
+        """A task of a gang has its image; all of its attempt that are there."""
+        gang = self._gangs.setdefault((spec.ref, key[1]), {})
+        gang[_number(key)] = (worker, key)
+        return list(gang.values())
+
+    def mates(self, worker: SimWorker, key: Key, spec: Spec) -> list[tuple[SimWorker, Key]]:
+        """The other tasks of the same attempt that are there."""
+        if spec.kind != "gang":
+            return []
+        gang = self._gangs.get((spec.ref, key[1]), {})
+        return [(mate, its) for mate, its in gang.values() if its != key and its in mate.runs]
+
+
+def _number(key: Key) -> int:
+    return int(key[0].rpartition("/")[2])
+
+
+def _whose(spec: Spec, number: int) -> tuple[str, int]:
+    return spec.ref, 0 if spec.kind == "gang" else number
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -16,7 +16,7 @@
 from ..core.view import View
 from ..links.budget import Budget
 from ..links.clocks import now_us, wall_us
-from ..links.http import Answer, Client, Server
+from ..links.http import Answer, Client, Handler, Server
 from ..links.store import Store
 from ..wire import node as wire
 from .chief import Chief
@@ -36,16 +36,20 @@
 
 
 class Controller:
-    """One node."""
+    """One node. ``client`` and ``server`` are its connections: sockets, unless others are given."""
 
-    def __init__(self, settings: Settings, extension: Extension | None = None) -> None:
+    def __init__(
+        self, settings: Settings, extension: Extension | None = None, client: Client | None = None,
+        server: Callable[[Handler], Server] = Server,
+    ) -> None:  # fmt: skip
         self.settings = settings
+        self._server = server
         self.extension = extension
         self._told = False
         self.node = settings.node
         limits = settings.params
         ends = settings.platform.endpoints
-        client = Client(max(50, limits.resources.fd_limit // 4), (ends.state, ends.cloud))
+        client = client or Client(max(50, limits.resources.fd_limit // 4), (ends.state, ends.cloud))
         share = settings.parts
         self.store = Store(
             client,
@@ -121,9 +125,9 @@
     async def run(self) -> None:
         """Until the process is killed."""
         host, port = address(self.settings.platform.bind)
-        Server(self.handle).listen(host, port)
+        self._server(self.handle).listen(host, port)
         if self.settings.platform.mesh_addr:
-            Server(self.mesh.handle).listen(*address(self.settings.platform.mesh_addr))
+            self._server(self.mesh.handle).listen(*address(self.settings.platform.mesh_addr))
         log.info("node %s on %s:%d, part %d of %d", self.node, host, port, self.settings.home,
                  self.settings.parts)
         loops: list[Callable[[], Awaitable[None]]] = [
--- a/pearstep/node/workers.py
+++ b/pearstep/node/workers.py
@@ -88,7 +88,12 @@
             return 503, wire.error_answer("not certain what is owned here"), {"Retry-After": "1"}
         part = layout.part_of(report.machine, report.zone)
         owner = self.owners.get(part)
-        if owner is None or report.token > owner.token:
+        if owner is not None and report.token > owner.token:
+            # Whatever this node knows, somebody has taken the part over: tokens are given to holders alone.
+            log.info("part %d is no longer ours: %s has seen token %d", part, report.machine, report.token)
+            del self.owners[part]
+            owner = None
+        if owner is None:
             answer = self._wrong_door(report, part)
             log.debug("%s of part %d is not ours, %d %s", report.machine, part, answer[0], answer[1])
             return answer
@@ -113,6 +118,11 @@
         first_us = now if known is None or now - known.last_us > SERIES_US else known.first_us
         self.knocks[report.machine] = Knock(part, first_us, now)
         holder = self.view.parts.get(part)
+        if holder is not None and report.token > holder.stamp:
+            # It knows a later holder than this node, and goes on till it is there. Seen: two nodes that had
+            # lost the state service and each other named one another, each by its own old view, and the
+            # workers went to and fro between them until their leases were over (510 tasks in one run).
+            return 503, wire.error_answer("the part's holder is not known here"), {"Retry-After": "1"}
         if holder is not None and holder.node not in ("", self.node):
             self.held_by[part] = holder.node
             # Seen: a new holder had sent its token to every machine, and workers on their way to it were sent
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -166,3 +166,19 @@
     assert door.workers.knocked(6 * US) == {0: 1}
     door.now += 7 * US
     assert door.workers.knocked(6 * US) == {}
+
+
+def test_worker_that_knows_a_later_holder_than_this_node_is_not_sent_by_an_old_view():
+    # Seen: two nodes without the state service named one another, and 510 tasks died on the way to and fro.
+    door = Door()
+    assert door.comes(8) == (503, None)
+    door.hold({0: ("n2", 8)})
+    assert door.comes(8) == (421, "n2")
+
+
+def test_holder_that_hears_of_a_later_token_holds_the_part_no_longer():
+    # An answer with our own token would be dropped, and keep the worker here while its lease runs out.
+    door = Door()
+    door.workers.owners[0] = SimpleNamespace(token=5)
+    assert door.comes(9) == (503, None)
+    assert door.workers.owners == {}
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,147 @@
+"""The rig of ``measurements/rig``: its checker on histories with each rule broken, and a few of its seeds."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from measurements.rig.checker import Checker
+from measurements.rig.cluster import Setup, run
+from measurements.rig.faults import Fault
+from pearstep.core.model import Team
+
+from .world import spec
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+class History:
+    """A checker that is told what users, workers and cloud saw, step by step."""
+
+    def __init__(self):
+        self.checker = Checker({"t": Team("t", cpus_max=25.0)}, 35.0)
+        self.now = 0.0
+
+    def job(self, ref="req-1", status=201, **changes):
+        self.spec = spec(ref, **changes)
+        self.checker.submitted(self.spec, self.now)
+        self.checker.submit_answer(ref, status, "queued", self.now)
+        return self
+
+    def on(self, machine, task=0, number=1, mtype="small", zone="a", spot=False):
+        key = (f"{self.spec.ref}/{task}", number)
+        self.checker.arrived(self.now, machine, mtype, zone, spot, key, self.spec)
+        self.checker.began(self.now, key, self.spec)
+        return self
+
+    def off(self, machine, task=0, number=1):
+        self.checker.left(machine, (f"{self.spec.ref}/{task}", number), self.spec)
+        return self
+
+    def told(self, status, stage="", ref="req-1"):
+        self.checker.poll_answer(ref, status, stage, self.now)
+        return self
+
+    def cancels(self):
+        self.checker.jobs[self.spec.ref].wish_s = self.now
+        self.checker.abort_answer(self.spec.ref, 200, "withdrawn", self.now)
+        return self
+
+    def at(self, now):
+        self.now = now
+        self.checker.look(now)
+        return self
+
+    def done(self, *tasks):
+        for task in tasks:
+            self.checker.done(self.spec.ref, task)
+        return self
+
+    def end(self):
+        self.checker.end(self.now)
+        return self
+
+
+def lived():
+    """A history in which all is well up to now."""
+    return History().job().on("m0").on("m1", 1)
+
+
+BROKEN = {
+    "ran_twice": lambda: lived().on("m2"),
+    "quota": lambda: lived().job("req-2").on("m3"),
+    "wrong_place": lambda: History().job(spot=False).on("m0", spot=True),
+    "ran_cancelled": lambda: lived().cancels().at(36.0),
+    "forgotten": lambda: lived().told(404),
+    "invented": lambda: lived().told(200, "queued", "req-9"),
+    "not_done": lambda: lived().done(0).told(200, "done"),
+    "went_back": lambda: lived().done(0, 1).told(200, "done").told(200, "running"),
+    "nothing_ran": lambda: History().job().end(),
+    "not_run": lambda: lived().told(200, "queued").calm(0).at(50.0).told(200, "queued").at(90.0)
+    .told(200, "queued").end(),
+    "largest": lambda: History().job("req-2", tasks=1).on("m0").off("m0").job(tasks=9).at(300.0).end(),
+}  # fmt: skip
+
+
+def _calm(self, at):
+    self.checker.calm_s = at
+    return self
+
+
+History.calm = _calm
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_checker_finds_each_rule_broken(rule):
+    history = BROKEN[rule]()
+    assert rule in history.checker.kinds, history.checker.broken
+
+
+def test_checker_finds_other_ways_to_break_them():
+    for history in (
+        History().job(types=("big",)).on("m0"),
+        History().job(one_zone=True).on("m0").on("m1", 1, zone="b"),
+        History().job(spread=True, tasks=2).on("m0").on("m1", 1),
+        History().job(zone="b").on("m0"),
+    ):
+        assert set(history.checker.kinds) == {"wrong_place"}
+    late = lived().cancels()
+    late.off("m0").off("m1", 1).now = 40.0
+    assert set(late.on("m0", number=2).checker.kinds) == {"ran_cancelled"}
+    assert set(lived().told(200, "withdrawn").checker.kinds) == {"went_back"}
+    refused = lived()
+    refused.checker.submit_answer("req-1", 422, "", 5.0)
+    assert set(refused.checker.kinds) == {"forgotten"}
+    # A job that nobody answers for, while all others are well, once there is no trouble any more.
+    alone = lived().calm(10.0).at(86.0)
+    assert set(alone.told(200, "running").checker.kinds) == {"forgotten"}
+    silent = lived().calm(10.0).done(0, 1).at(86.0).end()
+    assert set(silent.checker.kinds) == {"forgotten"}
+
+
+def test_checker_finds_nothing_where_all_is_well():
+    well = lived().done(0, 1).off("m0").off("m1", 1).told(200, "done").on("m2").off("m2").told(200, "done")
+    cancelled = History().job("req-2").on("m0").cancels()
+    cancelled.off("m0").at(90.0).told(200, "withdrawn", "req-2")
+    assert well.checker.broken == [] and cancelled.checker.broken == []
+
+
+def test_one_seed_is_one_trace():
+    faults = [Fault("node_still", 20.0, 6.0, [1]), Fault("report_copies", 10.0, 20.0)]
+    faults.append(Fault("machine_dies", 25.0, 0, [2]))
+    setup = Setup(3, machines=6, calm_s=40.0, until_s=60.0, faults=faults)
+    first, again = (run(setup, log=True)[1] for _ in range(2))
+    assert first == again and any("stood still" in line for line in first)
+
+
+def test_quick_seeds_break_no_rule():
+    done = subprocess.run(
+        [sys.executable, "-m", "measurements.simulate", "--quick"], cwd=ROOT, capture_output=True, text=True,
+        env={**os.environ, "PYTHONHASHSEED": "0"},
+    )  # fmt: skip
+    result = msgspec.json.decode(done.stdout)
+    assert done.returncode == 0 and result["rules_broken"] == {}, done.stderr
+    assert result["accepted"] > 100 and result["starts"] > 1000
