A machine is known by what it shows to have received; every job begins within four minutes

Cause: an answer counted when it was sent. A machine to which nothing arrives looked alive for as long as it reported, copies of reports renewed silence and the lease, and an owner that came after took in, and wrote down, machines known from a copy alone. Now a report proves what it follows from: the next number at this node, our token, or the answer to a direct command (state deaf in core/machine.py, reached_us). A deaf machine gets no work and is replaced after guarding.silent_s; where most of a zone is deaf or silent the way is at fault, and deletions are rare or wait a round of the nodes.

--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -96,6 +96,15 @@
         """Done or cancelled."""
         return self.state != QUEUED
 
+    def overdue(self, wall_us: int, begin_us: int) -> bool:
+        """Whether nothing of it has ever been placed although half of the time within which every job is to
+        begin (``begin_us``; 0: there is none) is over. Seen (relevamiento-forestal): arrays of low priority
+        behind a steady flow of normal ones had their first task after 310 s, the last after 451 s."""
+        return (
+            bool(begin_us) and wall_us - self.at_us >= begin_us // 2 and not self.run
+            and not any(placed.rec.last for placed in self.places.values())
+        )  # fmt: skip
+
     @property
     def vacated(self) -> bool:
         """Whether the job's end says by itself that nothing of it is anywhere: an array is done when its
--- a/pearstep/core/leader.py
+++ b/pearstep/core/leader.py
@@ -41,7 +41,7 @@
 
     def __init__(
         self, stamp: int, view: View, types: dict[str, MachineType], teams: dict[str, Team], parts: int,
-        backlog: int, aims: Aims | None = None,
+        backlog: int, aims: Aims | None = None, begin_us: int = 0,
     ) -> None:  # fmt: skip
         self.stamp = stamp
         self.view = view
@@ -49,6 +49,7 @@
         self.parts = parts
         self.backlog = backlog
         self.aims = aims or {}
+        self.begin_us = begin_us
         self.book = Book(view, types)
         self.unplaced: list[tuple[Job, int]] = []
         self.placeless: list[tuple[Job, int]] = []
@@ -65,7 +66,8 @@
         jobs = [j for j in jobs if not self._rests(j, now_us)]
         jobs.sort(key=lambda j: (
             j.spec.ref in self.faulty,
-            rank(j.spec, j.at_us, wall_us, self.aims, self.view.starts_within(j.spec.ref)),
+            rank(j.spec, j.at_us, wall_us, self.aims, self.view.starts_within(j.spec.ref),
+                 j.overdue(wall_us, self.begin_us)),
             j.at_us, j.spec.ref,
         ))  # fmt: skip
         return jobs
@@ -142,6 +144,9 @@
         if short > moved:
             work.unplaced.append((job, short - moved))
         unrouted = spec.all_tasks & ~job.done & ~job.routed & ~job.run & ~job.lent
+        if job.overdue(work.wall_us, self.begin_us):
+            # Its first task goes before others' work, not all of it.
+            unrouted = 0 if job.routed else unrouted & -unrouted
         if unrouted and not work.limits.held_back(spec):
             self._route_new(work, job, unrouted)
 
--- a/pearstep/core/machine.py
+++ b/pearstep/core/machine.py
@@ -12,6 +12,7 @@
 UNSEEN = "unseen"  # known from records; it has not been heard under our token
 UP = "up"
 SILENT = "silent"  # no report for a while; its tasks may well be running
+DEAF = "deaf"  # its reports arrive, and it shows nothing of our answers and commands
 DRAINING = "draining"  # takes nothing new, is being emptied
 DELETING = "deleting"  # the cloud has been asked to delete it
 GONE = "gone"
@@ -19,9 +20,10 @@
 MACHINE = Table(
     "machine",
     {
-        UNSEEN: (UP, DRAINING, GONE),
-        UP: (SILENT, DRAINING, GONE),
-        SILENT: (UP, DRAINING, GONE),
+        UNSEEN: (UP, DEAF, DRAINING, GONE),
+        UP: (SILENT, DEAF, DRAINING, GONE),
+        SILENT: (UP, DEAF, DRAINING, GONE),
+        DEAF: (UP, SILENT, DRAINING, GONE),
         DRAINING: (DELETING, GONE),
         DELETING: (DRAINING, GONE),
         GONE: (),
@@ -35,7 +37,8 @@
     __slots__ = (
         "name", "mtype", "zone", "spot", "addr", "state", "session", "seq", "confirmed", "heard_us",
         "answered_us", "attempts", "reaps", "pending_ends", "strays", "images", "errors", "notice_us",
-        "why", "drain_us", "delete_us", "probe_us", "open_directs", "recorded_us", "spared_us",
+        "why", "drain_us", "delete_us", "probe_us", "open_directs", "recorded_us", "spared_us", "reached_us",
+        "told_us", "sent_us", "awaits", "deaf_us",
     )  # fmt: skip
 
     def __init__(self, name: str, mtype: MachineType, zone: str, spot: bool, addr: str, now_us: int) -> None:
@@ -53,6 +56,16 @@
         # When it was last silent with most of its zone: that silence does not count.
         self.spared_us = now_us
         self.answered_us = now_us
+        # When we sent the latest of our answers and commands that it has shown to have received: what a late
+        # copy of a report shows is as old as that.
+        self.reached_us = now_us
+        # When its latest report was answered here, and a command last sent straight to it.
+        self.told_us = now_us
+        self.sent_us = now_us
+        # Whether its latest report is still to be answered: a copy of it, or an older one, is not.
+        self.awaits = False
+        # Since when it reports without having received anything; None: it has.
+        self.deaf_us: int | None = None
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.reaps: set[tuple[str, int]] = set()
         self.pending_ends: set[tuple[str, int]] = set()
--- a/pearstep/core/model.py
+++ b/pearstep/core/model.py
@@ -47,12 +47,21 @@
 Aims = Mapping[str, tuple[int, ...]]
 
 
-def rank(spec: Spec, at_us: int, wall_us: int, aims: Aims, guaranteed_us: int = 0) -> int:
+# What has not begun in time goes before all work of this priority and below it.
+OVERDUE = PRIORITIES.index("high")
+
+
+def rank(
+    spec: Spec, at_us: int, wall_us: int, aims: Aims, guaranteed_us: int = 0, overdue: bool = False
+) -> int:
     """The order in which jobs are served before arrival counts: priority, then the time by which the job
     is still to start. Operators state within which times a class is to start, and a job within its team's
     guarantee (``guaranteed_us``; 0: it is not); once the first has passed the next one counts, so that what
     is late already does not make everything else late too. What has missed them all comes to its turn as it
-    ages; jobs without such aims come last."""
+    ages; jobs without such aims come last. A job that has waited too long for its first start (``overdue``,
+    see ``Job.overdue``) goes before all but production work."""
+    if overdue:
+        return min(spec.priority, OVERDUE) * NEVER_US + at_us
     due_us = NEVER_US - 1
     within = aims.get(spec.cls)
     if guaranteed_us:
--- a/pearstep/core/orders.py
+++ b/pearstep/core/orders.py
@@ -7,7 +7,7 @@
 from .model import US, Aims
 
 Order = tuple[str, str, int, float | None]
-IMMEDIATE = ("lost", "stuck")
+IMMEDIATE = ("lost", "stuck", "deaf")
 
 
 @dataclass
@@ -32,6 +32,8 @@
     urgent: frozenset[str] = frozenset()
     aims: Aims = field(default_factory=dict)
     spare_us: int = 4 * US
+    # Within which time of its submission every job is to begin; 0: none.
+    begin_us: int = 0
     # Whether parts keep to their zones (``parts.Layout``).
     zoned: bool = False
 
--- a/pearstep/core/part.py
+++ b/pearstep/core/part.py
@@ -44,6 +44,8 @@
         self.gone: set[str] = set()
         self.walk_due = True
         self.next_walk_us = 0
+        # When a machine of a zone that hears nothing may be deleted next.
+        self.replace_us = 0
         self._load(now_us, wall_us)
 
     def _load(self, now_us: int, wall_us: int) -> None:
@@ -154,6 +156,7 @@
         answers kept alive ran on all the same: leases count from the last answer, as ever."""
         for m in self.machines.values():
             m.heard_us = min(m.heard_us + gap_us, now_us)
+            m.reached_us = min(m.reached_us + gap_us, now_us)
 
     def _run_us(self, spec: Spec) -> int:
         return max(spec.estimate_us, US)
--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -77,7 +77,8 @@
         spec = job.spec
         resting_us = max(self.troubles.not_before(spec.ref), self.yielded.get(spec.ref, 0))
         guaranteed_us = self.view.starts_within(spec.ref)
-        order = (rank(spec, job.at_us, wall_us, self.cfg.aims, guaranteed_us), job.at_us, spec.ref)
+        overdue = job.overdue(wall_us, self.cfg.begin_us)
+        order = (rank(spec, job.at_us, wall_us, self.cfg.aims, guaranteed_us, overdue), job.at_us, spec.ref)
         suspect = self.troubles.suspect(spec.ref)
         if suspect:
             # Probably submitted with a mistake: after everything else, and with one task, to see.
@@ -87,7 +88,8 @@
         room = max((self.cfg.value_bytes - 6 * 1024) // 50, 16)
         if spec.kind == "gang":
             room = spec.tasks
-        elif suspect:
+        elif suspect or overdue:
+            # Of what is overdue the first task: the others wait for their turn.
             room = 0 if self._any_placed(spec) else 1
         else:
             # All that runs stands in one value. Seen: 25,000 small tasks, and a record that was refused.
--- a/pearstep/core/reports.py
+++ b/pearstep/core/reports.py
@@ -21,7 +21,13 @@
         self, rep: ReportSeen, now_us: int, wall_us: int, direct: bool = False
     ) -> Machine | None:
         """Take in a report, or (``direct``) what a worker answered to a direct command. None if the machine
-        cannot be used (unknown type, or deleted)."""
+        cannot be used (unknown type, or deleted).
+
+        What a message proves of the machine now is what it shows to have received: a report that follows the
+        last message here, in the same session, was sent because the one before had its answer (a worker
+        without one goes to the next node); a report with our token, because something of ours arrived; the
+        answer to a direct command proves that command. What it says of tasks that are over, of sessions, and
+        of a notice is true for ever."""
         if rep.machine in self.gone:
             return None
         m = self.machines.get(rep.machine)
@@ -31,12 +37,14 @@
                 return None
             m = Machine(rep.machine, mtype, rep.zone, rep.spot, rep.addr, now_us)
             self.machines[rep.machine] = m
-        known = self.view.machines.get(m.name)
-        if known is None or known[1].addr != rep.addr:
-            m.addr = rep.addr
-            self._record_machine(m)
+        if direct:
+            m.reached_us = max(m.reached_us, m.sent_us)
         if (rep.session, rep.seq) <= (m.session, m.seq):
             return m  # a late message: its task list is old
+        if not direct:
+            if rep.session == m.session and rep.seq == m.seq + 1:
+                m.reached_us = max(m.reached_us, m.told_us)
+            m.awaits = True
         if rep.session > m.session or now_us - m.answered_us > self.cfg.lease_us:
             # A session lives on for a lease from its beginning, or longer than was thought. Seen after
             # a cut: counted from the last answer before it, the lease of a session just begun was over,
@@ -50,16 +58,34 @@
             m.confirmed = True
             # Whoever answered before can do so no longer; its last answer is not later than this.
             m.answered_us = now_us
+            m.reached_us = max(m.reached_us, m.told_us, m.sent_us)
             self.walk_due = True
-        if m.state in (mc.UNSEEN, mc.SILENT):
-            MACHINE.move(m, mc.UP)
-            self.walk_due = True
+        known = self.view.machines.get(m.name)
+        if m.confirmed and (known is None or known[1].addr != rep.addr):
+            # Only what has heard us is taken in. Copies of reports may come when the machine is long deleted,
+            # and an owner that came after remembers no machine that is gone.
+            m.addr = rep.addr
+            self._record_machine(m)
+        if not self._unreached(m, now_us):
+            m.deaf_us = None
+            if m.state in (mc.UNSEEN, mc.SILENT, mc.DEAF):
+                MACHINE.move(m, mc.UP)
+                self.walk_due = True
+        elif m.state in (mc.UNSEEN, mc.SILENT, mc.UP):
+            # Its next report tells, if it comes because this one had its answer.
+            MACHINE.move(m, mc.DEAF)
+            m.deaf_us = now_us if m.deaf_us is None else m.deaf_us
         if rep.notice_us is not None and m.notice_us is None:
             m.notice_us = now_us + rep.notice_us
             self.want_drain(m.name, "notice", wall_us)
         self._match(m, rep, now_us, wall_us, direct)
         return m
 
+    def _unreached(self, m: Machine, now_us: int) -> bool:
+        """Whether it reports, and has shown nothing of what we told it for longer than one report to the next
+        but one takes, with some for the way."""
+        return now_us - m.reached_us > 4 * self.cfg.report_us
+
     def _record_machine(self, m: Machine) -> None:
         rec = MachineRec(m.mtype.name, m.zone, m.spot, m.addr, dict(m.images))
         self.outbox[f"m/{self.part}/{m.name}"] = (rec, {})
@@ -154,8 +180,11 @@
             self.troubles.refused(m.name, ref, now_us)
 
     def answered(self, m: Machine, now_us: int) -> None:
-        """An answer with our token is on its way to the worker: its lease lives on."""
-        m.answered_us = now_us
+        """An answer with our token is on its way to the worker: its lease lives on. An answer to a late copy
+        of a report reaches nobody."""
+        if m.awaits:
+            m.awaits = False
+            m.answered_us = m.told_us = now_us
 
     def orders(self, m: Machine) -> list[Order]:
         """Commands for the answer to a report."""
@@ -177,8 +206,9 @@
         job = self.view.jobs.get(ref)
         return job is None or job.state == CANCELLED
 
-    def directs_sent(self, m: Machine, orders: list[Order]) -> None:
-        """Direct starts are on their way."""
+    def directs_sent(self, m: Machine, orders: list[Order], now_us: int) -> None:
+        """Direct commands are on their way."""
+        m.sent_us = now_us
         m.open_directs.update((name, number) for op, name, number, _ in orders if op == "start")
 
     def directs_answered(self, m: Machine, orders: list[Order]) -> None:
--- a/pearstep/core/upkeep.py
+++ b/pearstep/core/upkeep.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from . import machine as mc
+from .bounds import RETRY_US, UNANSWERED_US
 from .gang import BREAKING, Gang
 from .machine import MACHINE, Machine
 from .model import US
@@ -12,6 +15,9 @@
 from .reports import Reports
 from .task import HEARD, PLACED, PLACING, Attempt
 
+# Between two deletions of machines that hear nothing, where most of their zone does not.
+REPLACE_US = 60 * US
+
 
 class Upkeep(Reports):
     """Follows what time, cancellations, withdrawn routes and drains ask for."""
@@ -83,27 +89,52 @@
             self._drain(m, now_us, actions)
             return
         quiet = now_us - m.heard_us
-        if m.state == mc.UP and quiet > 2 * cfg.report_us:
+        if m.state in (mc.UP, mc.DEAF) and quiet > 2 * cfg.report_us:
             MACHINE.move(m, mc.SILENT)
-        if (m.state in (mc.UNSEEN, mc.SILENT) or not m.confirmed) and now_us >= m.probe_us:
+        if (m.state in (mc.UNSEEN, mc.SILENT, mc.DEAF) or not m.confirmed) and now_us >= m.probe_us:
             m.probe_us = now_us + 3 * US
             actions.probe(m.name)
-        if m.state in (mc.UNSEEN, mc.SILENT) and quiet > cfg.silent_us:
+        if m.deaf_us is not None:
+            # However often it reports: nothing can be told to it. Its tasks run on till its lease is over,
+            # and their places are freed by its next session or its deletion, as ever.
+            if now_us - m.deaf_us > cfg.silent_us and self._may_replace(m, now_us):
+                self.want_drain(m.name, "deaf", wall_us)
+        elif m.state in (mc.UNSEEN, mc.SILENT) and quiet > cfg.silent_us:
             # When a cut between zones ends, machines find their way back one by one, and as soon as half were
             # heard the rest no longer looks cut off. Seen: 84 good machines deleted within three seconds. So
             # whoever was spared is waited for as long as anyone who was heard then.
-            if self._cut_off(m, now_us):
+            if self._cut_off(m, now_us) or quiet <= self._round_us(m, now_us):
                 m.spared_us = now_us
             elif now_us - m.spared_us > cfg.silent_us:
                 self.want_drain(m.name, "lost", wall_us)
 
+    def _may_replace(self, m: Machine, now_us: int) -> bool:
+        """Where most machines of a zone hear nothing, the way to them is at fault: one at a time, and rarely,
+        is deleted all the same, in case it is not."""
+        if self._most(m, lambda o: o.deaf_us is not None):
+            if now_us < self.replace_us:
+                return False
+            self.replace_us = now_us + REPLACE_US
+        return True
+
+    def _round_us(self, m: Machine, now_us: int) -> int:
+        """How long silence may last where most machines of the zone are silent with this one: workers that
+        have no answers come back once they have been with every node, and then it shows that they live.
+        Seen: a zone to which no answers came was deleted before its workers had come round."""
+        return self.cfg.parts * (UNANSWERED_US + RETRY_US) + US if self._most_silent(m, now_us) else 0
+
+    def _most_silent(self, m: Machine, now_us: int) -> bool:
+        return self._most(m, lambda o: now_us - o.heard_us > 2 * self.cfg.report_us)
+
+    def _most(self, m: Machine, holds: Callable[[Machine], bool]) -> bool:
+        """Whether something holds for more than half of the zone's machines here, and more than one."""
+        same = [o for o in self.machines.values() if o.zone == m.zone and o.state != mc.DELETING]
+        count = sum(holds(o) for o in same)
+        return count >= 2 and count * 2 > len(same)
+
     def _cut_off(self, m: Machine, now_us: int) -> bool:
         """Many machines of another zone silent at once: a cut, not many deaths. They work on inside."""
-        if m.zone == self.cfg.zone:
-            return False
-        same = [o for o in self.machines.values() if o.zone == m.zone and o.state != mc.DELETING]
-        silent = [o for o in same if now_us - o.heard_us > 2 * self.cfg.report_us]
-        return len(silent) >= 2 and len(silent) * 2 > len(same)
+        return m.zone != self.cfg.zone and self._most_silent(m, now_us)
 
     def _drain(self, m: Machine, now_us: int, actions: Actions) -> None:
         if m.state != mc.DRAINING:
--- a/pearstep/node/chief.py
+++ b/pearstep/node/chief.py
@@ -50,7 +50,7 @@
         tuning = settings.tuning
         self.leader = Leader(
             stamp, view, types, settings.teams, settings.parts, tuning.backfilling.backlog,
-            settings.aims,
+            settings.aims, us(tuning.backfilling.begin_s),
         )
         renting = tuning.renting
         self.fleet = Fleet(
--- a/pearstep/node/settings.py
+++ b/pearstep/node/settings.py
@@ -126,6 +126,8 @@
     backlog: Count = 12
     spare_s: NotNegative = 4.0
     urgent_s: NotNegative = 100.0
+    # Within which time of its submission every job is to begin, whatever its priority; 0: there is none.
+    begin_s: NotNegative = 240.0
 
 
 class Renting(msgspec.Struct, forbid_unknown_fields=True):
@@ -309,5 +311,6 @@
         urgent=s.urgent,
         aims=s.aims,
         spare_us=us(tuning.backfilling.spare_s),
+        begin_us=us(tuning.backfilling.begin_s),
         zoned=bool(s.zones),
     )
--- a/pearstep/node/workers.py
+++ b/pearstep/node/workers.py
@@ -176,7 +176,7 @@
                 asyncio.ensure_future(self._send(owner, machine, orders[:MOST_ORDERS]))
 
     async def _send(self, owner: Owner, machine: Machine, orders: list[Order]) -> None:
-        owner.directs_sent(machine, orders)
+        owner.directs_sent(machine, orders, self.now_us())
         session = machine.session
         status, body = await self.client.fetch(
             machine.addr, "POST", wire.COMMANDS, wire.orders_body(owner.token, orders, session), 4.0
@@ -188,7 +188,7 @@
         except wire.Malformed as err:
             log.error("malformed answer of %s: %s", machine.name, err)
             return
-        if self.owners.get(owner.part) is not owner:
+        if self.owners.get(owner.part) is not owner or report.machine != machine.name:
             return
         if machine.session == session:
             owner.directs_answered(machine, orders)
--- a/tests/test_gaps.py
+++ b/tests/test_gaps.py
@@ -149,7 +149,7 @@
     def perform(actions):
         for m, orders in actions.sends.items():
             if w.owner.machines[m].session == sessions[m]:
-                w.owner.directs_sent(w.owner.machines[m], orders)
+                w.owner.directs_sent(w.owner.machines[m], orders, w.now)
                 obey(orders, m)
                 w.owner.directs_answered(w.owner.machines[m], orders)
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -287,3 +287,25 @@
     o.machine("m4", 1)
     o.route()
     assert {r.rec.attempt for r in o.view.jobs["req-1"].routes.values() if r.mask} == {2}
+
+
+def test_job_that_has_not_begun_in_time_goes_before_all_but_production_with_one_task():
+    # Seen (relevamiento-forestal): low arrays behind a steady flow of normal ones began after 310 and 451 s.
+    o = Office(parts=1)
+    o.machine("m0", 0)
+    o.leader.begin_us = 240 * US
+    o.submit(spec("req-1", tasks=30, priority=3), at=o.now)
+    o.submit(spec("req-2", tasks=30, priority=2), at=o.now)
+    order = lambda: [j.spec.ref for j in o.leader.ordered(o.now, o.now)]  # noqa: E731
+    assert order() == ["req-2", "req-1"]
+    o.now += 119 * US
+    assert order() == ["req-2", "req-1"]
+    o.now += US
+    o.submit(spec("req-3", tasks=1, priority=2), at=o.now)
+    o.submit(spec("req-4", tasks=1, priority=0), at=o.now)
+    assert order() == ["req-4", "req-1", "req-2", "req-3"]
+    assert o.route()["req-1", 0] == 1
+    o.place(0, "req-1", [0])
+    assert order() == ["req-4", "req-2", "req-3", "req-1"]
+    o.put("p/0/req-1/0", PlaceRec({}, "0", 1))  # it gave way: begun it has
+    assert order() == ["req-4", "req-2", "req-3", "req-1"]
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -95,7 +95,7 @@
     w.submit(spec(tasks=1))
     w.run()
     m = w.owner.machines["m1"]
-    w.owner.directs_sent(m, [("start", "req-1/0", 1, None)])
+    w.owner.directs_sent(m, [("start", "req-1/0", 1, None)], w.now)
     w.put("j/req-1", JobRec(spec(tasks=1), w.now, CANCELLED, w.now))
     w.step()
     w.report("m1")  # without the task: but the start may still be executed
@@ -436,7 +436,8 @@
     w.machine("m2")
     w.later(45)
     rep = ReportSeen("m1", "127.0.0.1:1", "small", "a", False, 2, 1, w.owner.token, None)
-    w.owner.on_report(rep, w.now, w.now)  # the answer to a probe: nothing of ours renews the lease
+    w.owner.directs_sent(w.owner.machines["m1"], [], w.now)
+    w.owner.on_report(rep, w.now, w.now, direct=True)  # nothing of ours renews the lease
     w.submit(spec(tasks=1))
     assert {m for m, _, _ in w.starts(w.run())} == {"m1"}
     w.later(1)
@@ -474,3 +475,14 @@
 
     assert chosen(10) == {("gpu", "req-9/0", 1)}  # 16 s of fetch against accelerators spared
     assert chosen(80) == {("plain", "req-9/0", 1)}
+
+
+def test_overdue_array_starts_one_task_before_what_came_later():
+    w = World(begin_us=240 * US)
+    w.machine("m0")
+    w.submit(spec("req-1", tasks=9, priority=3))
+    w.later(130)
+    w.machine("m0")
+    w.submit(spec("req-2", tasks=9, priority=2))
+    started = {name for _, name, _ in w.starts(w.run())}
+    assert started == {"req-1/0", "req-2/0", "req-2/1"}
--- a/tests/world.py
+++ b/tests/world.py
@@ -80,6 +80,7 @@
         self.now = 1000 * US
         self.cfg = config(**changes)
         self.seqs: dict[str, int] = {}
+        self.told: dict[str, int] = {}
         self.take_over()
 
     def take_over(self) -> Owner:
@@ -113,6 +114,11 @@
         notice: int | None = None, seq: int = 0,
     ) -> list[tuple[str, str, int, float | None]]:  # fmt: skip
         """A machine reports; the commands it is given."""
+        quiet = self.now - self.told.get(machine, self.now)
+        self.told[machine] = self.now
+        if quiet > 4 * self.cfg.report_us and not seq:
+            # Workers report all the time: the last but one shows that the ones before had their answers.
+            self.report(machine, *tasks, token=token, session=session, mtype=mtype, zone=zone, notice=notice)
         self.seqs[machine] = seq or self.seqs.get(machine, 0) + 1
         rep = ReportSeen(
             machine, "127.0.0.1:1", mtype, zone, False, session, self.seqs[machine],
