Isolated controllers take no users, knocks are proven, a node back at once keeps its parts

Causes, each seen in the rig (simulated machines): - the answers of all nodes lost on the way to a zone: its workers knocked at every door and each owner gave its parts up to another that they heard no better. A knock counts where the peer reaches some of those workers itself. - a node without state service and peers stayed in the balancer. It says it is not ready; its parts it keeps as in an outage, until a worker shows a later token. - a node back within its former life's lease waited for that lease before it took the other nodes' parts that it had held. It claims them at once under a stamp of its own.

--- a/pearstep/core/reach.py
+++ b/pearstep/core/reach.py
@@ -27,6 +27,8 @@
 # Users are sent elsewhere sooner than parts are given up: that costs a connection, this a takeover. After so
 # long a neighbour is doubted and the peers are asked; two of their words in a row decide.
 DOUBT_US = US
+# So often in a row without an answer of any peer: none is reached.
+ALONE = 2
 # The longest pause before a node that was cut off claims again.
 LONGEST_REST_US = 60 * US
 
@@ -46,6 +48,8 @@
         self.lacks: tuple[str, ...] = ()
         self.settled = True
         self.ready_us = 0
+        # How often in a row the peers were asked and none answered.
+        self.alone = 0
         self._pause_us = rest_us
         self._left_us = 0
 
@@ -75,6 +79,11 @@
             return False
         if now_us - self.failing.get(STATE, now_us) < DOUBT_US:
             return True
+        if self.alone >= ALONE:
+            # Nor does any peer answer. An outage for all and a mesh that is gone too look the same from here:
+            # then nobody could be helped anyway, else the others help. What it holds it keeps, as in an
+            # outage: once its parts are taken, its workers have a later token and say so.
+            return False
         since, last = self.word.get(STATE, (0, -(1 << 60)))
         return now_us - last > WORD_US or last - since < TWICE_US
 
@@ -86,6 +95,10 @@
         else:
             self.word.pop(neighbour, None)
 
+    def met(self, anyone: bool) -> None:
+        """Whether any peer answered when they were asked."""
+        self.alone = 0 if anyone else self.alone + 1
+
     def woke(self, now_us: int) -> None:
         """The process stood still. What its peers said before is old."""
         self.word.clear()
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -179,6 +179,11 @@
                     await asyncio.sleep(TURN_US / US * home)
                 if self.view.leader is lead:
                     await self._claim("leader")
+        for part, held in list(self.view.parts.items()):
+            if part != home and part not in self.owners and held.node == self.node:
+                # A former life of this node took it: nobody else can before that life's lease is over, and we
+                # need not wait for it. Our own stamp makes whatever it still sends harmless.
+                await self._claim(f"part/{part}")
         for part, since in list(self.part_gone.items()):
             # The owner of the least loaded live node would be fairest; the first to see it will do. A node
             # that gives a part up lives: nothing is waited for then.
--- a/pearstep/node/watch.py
+++ b/pearstep/node/watch.py
@@ -16,13 +16,12 @@
 from .cloud import Cloud
 from .mesh import Mesh, Status
 from .settings import Settings
-from .workers import Workers
+from .workers import ASKED, Workers
 
 log = logging.getLogger("pearstep")
 
 TICK_US = US // 4
 CLOUD_PATIENCE_US = 3 * US
-ASKED = 3
 # How long workers may take to find a new owner, and how long one at the wrong door counts as news.
 FINDING_US = 8 * US
 KNOCK_US = 6 * US
@@ -61,7 +60,8 @@
             await self.cloud.types()
         return Status(
             self.settings.node, self.loaded and self.store.refused_since is None,
-            CLOUD not in self.reach.failing, self.workers.knocked(max(2 * self.settings.report_us, KNOCK_US)),
+            CLOUD not in self.reach.failing,
+            await self.workers.knocked_in_earnest(max(2 * self.settings.report_us, KNOCK_US)),
         )  # fmt: skip
 
     def stood_still(self) -> bool:
@@ -115,6 +115,7 @@
             self._asked_us = now
         peers = await self.mesh.ask(cloud)
         now = self.now_us()
+        self.reach.met(bool(peers))
         if STATE in suspects:
             self.reach.heard(STATE, any(p.state_ok for p in peers), now)
         if WORKERS in suspects:
--- a/pearstep/node/workers.py
+++ b/pearstep/node/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -26,14 +27,18 @@
 MOST_ORDERS = 400
 # Visits to the wrong door that lie no further apart belong together.
 SERIES_US = 6 * US
+# Of workers that say something of a part so many are asked, within a time in which a peer still waits for our
+# word.
+ASKED, ASKING_S = 3, 0.6
 
 
 class Knock(NamedTuple):
-    """A worker at the wrong door: whose part it is of, and when it first and last came."""
+    """A worker at the wrong door: whose part it is of, when it first and last came, and its address."""
 
     part: int
     first_us: int
     last_us: int
+    addr: str
 
 
 def seen(report: wire.Report) -> ReportSeen:
@@ -116,7 +121,7 @@
         now = self.now_us()
         known = self.knocks.get(report.machine)
         first_us = now if known is None or now - known.last_us > SERIES_US else known.first_us
-        self.knocks[report.machine] = Knock(part, first_us, now)
+        self.knocks[report.machine] = Knock(part, first_us, now, report.addr)
         holder = self.view.parts.get(part)
         if holder is not None and report.token > holder.stamp:
             # It knows a later holder than this node, and goes on till it is there. Seen: two nodes that had
@@ -161,10 +166,21 @@
         self.knocks = {name: k for name, k in self.knocks.items() if now - k.last_us <= kept_us}
         return dict(Counter(k.part for k in self.knocks.values() if now - k.last_us <= within_us))
 
-    async def reached(self, addrs: list[str]) -> bool:
+    async def knocked_in_earnest(self, within_us: int) -> dict[int, int]:
+        """The same, of parts whose workers we reach ourselves. Seen: the answers of all nodes were lost on
+        the way to a zone; its workers, with no answer anywhere, knocked at every door, and each owner gave up
+        its parts to another that they heard no better."""
+        knocks = self.knocked(within_us)
+        for part in list(knocks):
+            addrs = [k.addr for k in self.knocks.values() if k.part == part]
+            if not await self.reached(random.sample(addrs, min(ASKED, len(addrs))), ASKING_S):
+                del knocks[part]
+        return knocks
+
+    async def reached(self, addrs: list[str], timeout_s: float = 2.0) -> bool:
         """Whether most of these workers answer us."""
         answers = await asyncio.gather(
-            *(self.client.fetch(addr, "GET", wire.INSPECT, timeout_s=2.0) for addr in addrs)
+            *(self.client.fetch(addr, "GET", wire.INSPECT, timeout_s=timeout_s) for addr in addrs)
         )
         return 2 * sum(status == 200 for status, _ in answers) > len(addrs)
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -182,3 +182,22 @@
     door.workers.owners[0] = SimpleNamespace(token=5)
     assert door.comes(9) == (503, None)
     assert door.workers.owners == {}
+
+
+def test_knocks_of_workers_that_we_do_not_reach_count_for_nothing():
+    # Seen: the answers of all nodes were lost on the way to a zone, and each owner gave up its parts.
+    class Client:
+        status = 0
+
+        async def fetch(self, addr, method, path, timeout_s):
+            return self.status, b"{}"
+
+    door = Door()
+    door.workers.client = Client()
+    names = [f"i-{n}" for n in range(99) if part_of(f"i-{n}", 3) == 0][:4]
+    for door.name in names:
+        door.comes(5)
+    assert door.workers.knocked(6 * US) == {0: 4}
+    assert asyncio.run(door.workers.knocked_in_earnest(6 * US)) == {}
+    Client.status = 200
+    assert asyncio.run(door.workers.knocked_in_earnest(6 * US)) == {0: 4}
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -123,3 +123,21 @@
             assert not r.may_claim(now) and set(r.lacks) <= set(r.failing)
         if not r.failing and not doubtful:
             assert state == WHOLE
+
+
+def test_node_without_state_service_and_peers_takes_no_users_and_keeps_its_parts():
+    r = reach()
+    for half in range(2, 60):
+        now = half * US // 2
+        r.note(STATE, False, now)
+        if STATE in r.doubts(now):
+            r.met(False)
+            r.heard(STATE, False, now)
+        assert r.update(now) == WHOLE
+    assert not r.serves(30 * US)
+    # A peer answers that does not reach it either: an outage for all, and to leave helps nobody.
+    r.met(True)
+    assert r.serves(30 * US)
+    r.met(False)
+    r.note(STATE, True, 31 * US)
+    assert r.serves(31 * US)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -145,3 +145,40 @@
     result = msgspec.json.decode(done.stdout)
     assert done.returncode == 0 and result["rules_broken"] == {}, done.stderr
     assert result["accepted"] > 100 and result["starts"] > 1000
+
+
+def owned(trace, life):
+    """The parts that a life has taken, with the times."""
+    return {int(line.split()[4]): float(line.split()[0]) for line in trace if f"{life} owning part" in line}
+
+
+def test_node_back_at_once_has_all_its_parts_again_without_waiting_for_its_former_life():
+    # n1 is gone for long; whoever has taken its part ends and is back after 0.2 s, within its lease.
+    faults = [Fault("node_crash", 20.0, 0.0, [1], back_s=60.0)]
+    faults += [Fault("node_crash", 45.0, 0.0, [n], back_s=0.2) for n in (0, 2)]
+    setup = Setup(5, zones=1, machines=6, load=0.1, calm_s=46.0, until_s=60.0, faults=faults)
+    trace = run(setup, log=True)[1]
+    before = {**owned(trace, "n0.1"), **owned(trace, "n2.1")}
+    after = {**owned(trace, "n0.2"), **owned(trace, "n2.2")}
+    assert set(before) == set(after) == {0, 1, 2} and all(at < 46.5 for at in after.values())
+
+
+def test_controller_without_state_service_and_peers_gives_way_and_its_workers_live():
+    for lease_s, report_s in ((5.0, 0.5), (10.0, 1.0), (36.0, 3.0)):
+        faults = [Fault("node_isolated", 20.0, 40.0, [1]), Fault("node_isolated", 32.0, 20.0, [2])]
+        setup = Setup(6, 3, 1, 9, lease_s, report_s, calm_s=60.0, until_s=75.0, faults=faults)
+        result, trace = run(setup, log=True)
+        assert result.killed == 0 and result.broken == []
+        assert 1 in owned(trace, "n0.1") | owned(trace, "n2.1")
+
+
+def test_machine_that_hears_nothing_is_replaced_and_a_zone_of_them_is_not():
+    alone = Setup(
+        7, zones=1, machines=9, calm_s=70.0, until_s=90.0, faults=[Fault("machine_deaf", 25.0, 45.0, [2])]
+    )
+    _, trace = run(alone, log=True)
+    assert sum("(deaf)" in line or "(lost)" in line for line in trace) == 1
+    zone = msgspec.structs.replace(alone, load=0.02, faults=[Fault("zone_deaf", 25.0, 30.0, [0])])
+    _, trace = run(zone, log=True)
+    assert sum("(deaf)" in line or "(lost)" in line for line in trace) <= 3  # one of each part, in case
+    assert not any("giving up" in line for line in trace)
