--- a/measurements/rig/cluster.py
+++ b/measurements/rig/cluster.py
@@ -61,7 +61,9 @@
 def setup_of(seed: int, kinds: list[str] | None = None) -> Setup:
     """What a seed stands for."""
     rng = random.Random(f"setup {seed}")
-    lease_s, report_s = rng.choice([(5.0, 0.5), (10.0, 1.0), (10.0, 1.0), (16.0, 2.5), (36.0, 3.0)])
+    lease_s, report_s = rng.choice(
+        [(5.0, 0.5), (10.0, 1.0), (10.0, 1.0), (16.0, 2.5), (36.0, 3.0), (120.0, 10.0)]
+    )
     out = Setup(
         seed, rng.choice([3, 3, 3, 5]), rng.choice([1, 2, 3]), rng.choice([8, 14, 24]), lease_s, report_s
     )
--- a/pearstep/core/part.py
+++ b/pearstep/core/part.py
@@ -46,6 +46,9 @@
         self.next_walk_us = 0
         # When a machine of a zone that hears nothing may be deleted next.
         self.replace_us = 0
+        # What holds for most machines of a zone, as it was counted at a time.
+        self.most: dict[tuple[str, str], bool] = {}
+        self.counted_us = -1
         self._load(now_us, wall_us)
 
     def _load(self, now_us: int, wall_us: int) -> None:
--- a/pearstep/core/upkeep.py
+++ b/pearstep/core/upkeep.py
@@ -111,7 +111,7 @@
     def _may_replace(self, m: Machine, now_us: int) -> bool:
         """Where most machines of a zone hear nothing, the way to them is at fault: one at a time, and rarely,
         is deleted all the same, in case it is not."""
-        if self._most(m, lambda o: o.deaf_us is not None):
+        if self._most(m, "deaf", lambda o: o.deaf_us is not None, now_us):
             if now_us < self.replace_us:
                 return False
             self.replace_us = now_us + REPLACE_US
@@ -124,13 +124,20 @@
         return self.cfg.parts * (UNANSWERED_US + RETRY_US) + US if self._most_silent(m, now_us) else 0
 
     def _most_silent(self, m: Machine, now_us: int) -> bool:
-        return self._most(m, lambda o: now_us - o.heard_us > 2 * self.cfg.report_us)
-
-    def _most(self, m: Machine, holds: Callable[[Machine], bool]) -> bool:
-        """Whether something holds for more than half of the zone's machines here, and more than one."""
-        same = [o for o in self.machines.values() if o.zone == m.zone and o.state != mc.DELETING]
-        count = sum(holds(o) for o in same)
-        return count >= 2 and count * 2 > len(same)
+        return self._most(m, "silent", lambda o: now_us - o.heard_us > 2 * self.cfg.report_us, now_us)
+
+    def _most(self, m: Machine, what: str, holds: Callable[[Machine], bool], now_us: int) -> bool:
+        """Whether something holds for more than half of the zone's machines here, and more than one. Counted
+        once for a pass: when it matters, all machines of the zone ask."""
+        if self.counted_us != now_us:
+            self.counted_us = now_us
+            self.most = {}
+        found = self.most.get((what, m.zone))
+        if found is None:
+            same = [o for o in self.machines.values() if o.zone == m.zone and o.state != mc.DELETING]
+            count = sum(holds(o) for o in same)
+            found = self.most[what, m.zone] = count >= 2 and count * 2 > len(same)
+        return found
 
     def _cut_off(self, m: Machine, now_us: int) -> bool:
         """Many machines of another zone silent at once: a cut, not many deaths. They work on inside."""
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -9,8 +9,10 @@
 import pytest
 
 from measurements.rig.checker import Checker
-from measurements.rig.cluster import Setup, run
+from measurements.rig.clock import Virtual
+from measurements.rig.cluster import Cluster, Setup, run
 from measurements.rig.faults import Fault
+from measurements.rig.platform import Rented
 from pearstep.core.model import Team
 
 from .world import spec
@@ -182,3 +184,15 @@
     _, trace = run(zone, log=True)
     assert sum("(deaf)" in line or "(lost)" in line for line in trace) <= 3  # one of each part, in case
     assert not any("giving up" in line for line in trace)
+
+
+def test_what_is_asked_of_a_cluster_beyond_the_protocol_is_found_where_it_fails():
+    with Virtual() as loop:
+        cluster = Cluster(Setup(1, machines=1), loop)
+        cluster.cloud.deleted["i-000001"] = -30.0
+        cluster._watch("m/0/i-000001", b"{}")
+        rented = Rented("i-000002", "plain", "north", False, 0.0)
+        cluster.boot(rented)
+        cluster.world.machines["i-000002"].session.base_us = -60_000_000
+        cluster.judge()
+        assert {"brought_back", "unheld", "unserved"} <= set(cluster.checker.kinds)
