Every answer prolongs a lease, also one to a report that a direct answer overtook

On reading the change again: answers to reports no newer than the last were not counted, to keep late copies from renewing anything. But a report that the answer to a direct command overtook looks the same, and its worker has the answer: the place of a running task could have been free before its lease was over. Counted again; a test fails without it.

--- a/pearstep/core/machine.py
+++ b/pearstep/core/machine.py
@@ -62,7 +62,7 @@
         # When its latest report was answered here, and a command last sent straight to it.
         self.told_us = now_us
         self.sent_us = now_us
-        # Whether its latest report is still to be answered: a copy of it, or an older one, is not.
+        # Whether its latest report is still to be answered; a late copy is no such report.
         self.awaits = False
         # Since when it reports without having received anything; None: it has.
         self.deaf_us: int | None = None
--- a/pearstep/core/reports.py
+++ b/pearstep/core/reports.py
@@ -180,11 +180,14 @@
             self.troubles.refused(m.name, ref, now_us)
 
     def answered(self, m: Machine, now_us: int) -> None:
-        """An answer with our token is on its way to the worker: its lease lives on. An answer to a late copy
-        of a report reaches nobody."""
+        """An answer with our token is on its way to the worker: its lease lives on. That must be supposed of
+        every answer: a report may be overtaken by the answer to a direct command and look like a late copy,
+        and its answer prolongs the lease all the same. What a later report proves is the answer to the
+        latest."""
+        m.answered_us = now_us
         if m.awaits:
             m.awaits = False
-            m.answered_us = m.told_us = now_us
+            m.told_us = now_us
 
     def orders(self, m: Machine) -> list[Order]:
         """Commands for the answer to a report."""
