A worker's later token costs a holder its part only while the state service is away

A worker that survived a state set back to an earlier revision holds a token above all stamps: each of its reports would have made the holder give up and claim again. While the state service serves the node it is believed, and the worker is told 503 as before.

--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -89,6 +89,7 @@
             self._new_owner, self._new_chief, self._gained,
         )  # fmt: skip
         self.workers.awake = self.holding.awake
+        self.workers.cut_off = lambda: self.store.refused_since is not None
         leading = settings.tuning.leading
         self.owning = Owning(
             leading, self.owners, self.store, self.cloud, self.view, self.follower, self.workers,
--- a/pearstep/node/workers.py
+++ b/pearstep/node/workers.py
@@ -74,6 +74,8 @@
         # How long a worker that its node does not answer is kept from going back there.
         self.detour_us = detour_us
         self.awake: Callable[[], bool] = lambda: True
+        # Whether the state service does not serve this node, so that it may have missed a takeover.
+        self.cut_off: Callable[[], bool] = lambda: False
         # Machines that came here although another node owns their part: what tells an owner that it is
         # cut off from its workers, and not they from everyone.
         self.knocks: dict[str, Knock] = {}
@@ -94,9 +96,12 @@
         part = layout.part_of(report.machine, report.zone)
         owner = self.owners.get(part)
         if owner is not None and report.token > owner.token:
-            # Whatever this node knows, somebody has taken the part over: tokens are given to holders alone.
-            log.info("part %d is no longer ours: %s has seen token %d", part, report.machine, report.token)
-            del self.owners[part]
+            if self.cut_off():
+                # Somebody has taken the part over: tokens are given to holders alone. While the state service
+                # serves us, it says so itself: a worker whose token comes from a state that was set back must
+                # not cost anybody a part.
+                log.info("part %d is no longer ours: %s has token %d", part, report.machine, report.token)
+                del self.owners[part]
             owner = None
         if owner is None:
             answer = self._wrong_door(report, part)
