--- a/measurements/rig/cluster.py
+++ b/measurements/rig/cluster.py
@@ -404,9 +404,19 @@
             worker.gone_all()
 
     def _machine_hangs(self, fault: Fault) -> Callable[[], None]:
-        undo = [self._still(w.life) for w in self._workers(fault)]
+        workers = self._workers(fault)
+        undo = [self._still(w.life) for w in workers]
+        for worker in workers:
+            # It may go on within its lease; past it its tasks are over, whenever it does (PROTOCOL, "Workers").
+            gone_us = worker.life.now_us() - worker.session.base_us
+            left_s = max(self.setup.lease_s - gone_us / 1e6, 0.0)
+            self.loop.call_later(left_s + 0.01, self._past_lease, worker)
         return self._over([u for u in undo if u is not None])
 
+    def _past_lease(self, worker: SimWorker) -> None:
+        if worker.life.state == STILL:
+            worker.gone_all()
+
     def _machine_sick(self, fault: Fault) -> Callable[[], None]:
         workers = self._workers(fault)
         for worker in workers:
