--- a/measurements/rig/cluster.py
+++ b/measurements/rig/cluster.py
@@ -407,7 +407,7 @@
         workers = self._workers(fault)
         undo = [self._still(w.life) for w in workers]
         for worker in workers:
-            # It may go on within its lease; past it its tasks are over, whenever it does (PROTOCOL, "Workers").
+            # It may go on within its lease; past it its tasks are over (PROTOCOL, "Workers").
             gone_us = worker.life.now_us() - worker.session.base_us
             left_s = max(self.setup.lease_s - gone_us / 1e6, 0.0)
             self.loop.call_later(left_s + 0.01, self._past_lease, worker)
