One name for a worker's way to its next node; what the rig kept and nobody read is gone

UNANSWERED_US + RETRY_US stood in three places: bounds.NEXT_US. In the rig: counters, fields and parameters that nothing used, and a list of tasks made at every event for the one case in which a lease ends.

--- a/measurements/rig/checker.py
+++ b/measurements/rig/checker.py
@@ -29,7 +29,6 @@
         self.wish_s: float | None = None
         self.cancelled_s: float | None = None
         self.answered_s = at_s
-        self.asked = 0
         self.begun_s: float | None = None
 
 
@@ -150,7 +149,6 @@
             if status == 200:
                 self.breaks(at_s, "invented", ref)
             return
-        seen.asked += 1
         if status == 404 and seen.accepted_s is not None:
             self.breaks(at_s, "forgotten", f"{ref} gets 404")
         if status == 200:
--- a/measurements/rig/cluster.py
+++ b/measurements/rig/cluster.py
@@ -138,7 +138,7 @@
 class Cluster:
     """All of it."""
 
-    def __init__(self, setup: Setup, loop: VirtualLoop, log: bool = False) -> None:
+    def __init__(self, setup: Setup, loop: VirtualLoop) -> None:
         self.setup = setup
         self.loop = loop
         self.rng = random.Random(setup.seed)
@@ -198,8 +198,6 @@
         self.places: dict[str, dict[tuple[int, int], str]] = {}
         self.deaf_since: dict[str, float] = {}
         self.placed_deaf = 0
-        self.lives: dict[str, Life] = {}
-        self.log = log
 
     # -- what is built ---------------------------------------------------------------------------
 
@@ -225,9 +223,7 @@
     def boot(self, rented: Rented) -> None:
         """A machine comes up."""
         s = self.setup
-        life = self.lives[rented.name] = Life(
-            self.loop, rented.name, rented.name, 1 + self.rng.uniform(-DRIFT, DRIFT)
-        )
+        life = Life(self.loop, rented.name, rented.name, 1 + self.rng.uniform(-DRIFT, DRIFT))
         timing = Timing(int(s.report_s * US), int(s.lease_s * US), 40 * US, 4 * US)
         self.world.machines[rented.name] = SimWorker(
             self.world, self.net, life, rented.name, self.types[rented.mtype], rented.zone, rented.spot,
@@ -266,7 +262,7 @@
                         checkpoint_us=5 * US, save_us=2 * US)  # fmt: skip
         else:
             one |= dict(cls="portal", tasks=rng.choice([1, 2, 3]), cpus=2.0, estimate_us=0, priority=0,
-                        spread=setup_spreads(self.setup))  # fmt: skip
+                        spread=self.setup.zones > 1)  # fmt: skip
         spec = Spec(**one)  # type: ignore[arg-type]
         self.world.uploaded[ref] = spec
         self.world.run_s[ref] = run_s
@@ -513,11 +509,6 @@
                 self.checker.breaks(now, "unserved", f"{name} had no answer for longer than it should")
 
 
-def setup_spreads(setup: Setup) -> bool:
-    """Whether services can be spread."""
-    return setup.zones > 1
-
-
 class Result(msgspec.Struct):
     """What a run showed."""
 
@@ -540,7 +531,7 @@
     # The node draws its random pauses from the module's generator.
     random.seed(setup.seed)
     with Virtual() as loop:
-        cluster = Cluster(setup, loop, log)
+        cluster = Cluster(setup, loop)
         handler: logging.Handler | None = None
         root = logging.getLogger("pearstep")
         before = (root.level, root.propagate)
--- a/measurements/rig/net.py
+++ b/measurements/rig/net.py
@@ -55,7 +55,6 @@
         self.host_of: dict[str, str] = {}
         self.cuts: dict[Path, int] = {}
         self.deaf: dict[str, int] = {}
-        self.slow_s: dict[Path, float] = {}
         self.held: dict[Path, list[Callable[[], None]]] = {}
         self.broken: set[tuple[str, str]] = set()
         # Told of each request that arrives: source host, address, method, path, body, and the delivery.
@@ -91,14 +90,14 @@
         self.endpoints[addr] = Endpoint(life, handler)
         self.host_of[addr] = host
 
-    def _latency_s(self, path: Path) -> float:
-        return self.rng.uniform(0.0003, 0.002) + self.slow_s.get(path, 0.0)
+    def _latency_s(self) -> float:
+        return self.rng.uniform(0.0003, 0.002)
 
     def _send(self, path: Path, deliver: Callable[[], None]) -> None:
         if path in self.cuts:
             self.held.setdefault(path, []).append(deliver)
         else:
-            self.loop.call_later(self._latency_s(path), deliver, context=NOBODY.copy())
+            self.loop.call_later(self._latency_s(), deliver, context=NOBODY.copy())
 
     async def fetch(
         self, src: str, addr: str, method: str, path: str, body: bytes | None, timeout_s: float,
@@ -115,7 +114,7 @@
                     async with asyncio.timeout(min(timeout_s, CONNECT_S)):
                         while there in self.cuts or back in self.cuts or dst in self.deaf:
                             await asyncio.sleep(LOOK_S)
-                    await asyncio.sleep(self._latency_s(there))
+                    await asyncio.sleep(self._latency_s())
                 self._send(there, lambda: self._arrive(src, addr, method, path, body or b"", answer))
                 found = await answer
                 self.broken.discard(there)
--- a/measurements/rig/platform.py
+++ b/measurements/rig/platform.py
@@ -148,7 +148,6 @@
         self.machines: dict[str, Rented] = {}
         self.deleted: dict[str, float] = {}
         self.hires: dict[str, list[str]] = {}
-        self.repeated: list[str] = []
         self.shown: list[tuple[float, list[tuple[str, str, str, str, bool, str, float]]]] = []
         life.start(self._picture())
 
--- a/measurements/rig/worker.py
+++ b/measurements/rig/worker.py
@@ -39,14 +39,13 @@
 class Run:
     """A task that this worker has: since when it runs, and what it had done by then."""
 
-    __slots__ = ("spec", "number", "since_s", "stood_s", "begun_us", "timer", "saved")
+    __slots__ = ("spec", "number", "since_s", "stood_s", "timer", "saved")
 
     def __init__(self, spec: Spec, number: int) -> None:
         self.spec = spec
         self.number = number
         self.since_s: float | None = None
         self.stood_s = 0.0
-        self.begun_us = 0
         self.timer: asyncio.TimerHandle | None = None
         self.saved = False
 
@@ -73,8 +72,6 @@
         self.runs: dict[Key, Run] = {}
         self.images: set[str] = set()
         self.wake = asyncio.Event()
-        self.killed = 0
-        self.answered_us = 0
         net.listen(self.addr, name, life, self.handle)
         life.soon(lambda: asyncio.ensure_future(self._live()))
 
@@ -97,11 +94,9 @@
         """What time alone brings. Before anything else is done: whoever stood still past its lease has lost
         all that it had."""
         now = self.life.now_us()
-        held = {key for key, h in self.session.tasks.items() if h.state != EXITED}
         effects = self.session.tick(now)
         if self.session.state == ENDING:
-            self.killed += len(held)
-            self.world.lease_over(self.name, sorted(held))
+            self.world.lease_over(self.name, len(self.runs))
             for key in list(self.runs):
                 self._gone(key)
             self.session.all_gone(self.session.number + 1, now)
@@ -112,8 +107,6 @@
         status, data = await self.net.fetch(self.name, addr, "POST", REPORT, body, 4.0)
         self._time()
         self._perform(self.session.answered(status, read_answer(data), self.life.now_us()))
-        if status == 200:
-            self.answered_us = self.life.now_us()
         self.wake.set()
 
     def handle(self, request: object) -> Answer:
@@ -198,8 +191,7 @@
 
     def _start(self, key: Key) -> None:
         run = self.runs[key]
-        run.begun_us = self.life.now_us()
-        self.world.began(self, key, run.spec)
+        self.world.began(key, run.spec)
         if self.sick or run.spec.ref in self.world.faulty:
             self.net.loop.call_later(0.1, self._exit, key, "error")
             return
@@ -219,7 +211,7 @@
             run.timer = self.net.loop.call_later(stood_s, self._complete, key)
             return
         self.world.completed(run.spec, run.number)
-        for mate, its in self.world.mates(self, key, run.spec):
+        for mate, its in self.world.mates(key, run.spec):
             mate.life.soon(mate._exit, its, "done")
         self._exit(key, "done")
 
@@ -232,7 +224,7 @@
         if run is None or held is None or held.state != SAVING:
             return
         run.saved = True
-        mates = self.world.mates(self, key, run.spec)
+        mates = self.world.mates(key, run.spec)
         if all(mate.runs[its].saved for mate, its in mates):
             ran_s = self.net.loop.time() - (run.since_s or self.net.loop.time())
             self.world.saved(run.spec, run.number, ran_s)
--- a/measurements/rig/world.py
+++ b/measurements/rig/world.py
@@ -64,14 +64,14 @@
                 if mate.life.state != DEAD:
                     mate.life.soon(mate.lost_mate, its)
 
-    def began(self, worker: SimWorker, key: Key, spec: Spec) -> None:
+    def began(self, key: Key, spec: Spec) -> None:
         """A task runs."""
         self.checker.began(self.loop.time(), key, spec)
 
-    def lease_over(self, machine: str, tasks: list[Key]) -> None:
-        """A worker's lease ended; it has killed these."""
-        self.checker.note(self.loop.time(), f"{machine} lease over, killed {len(tasks)}")
-        self.checker.killed += len(tasks)
+    def lease_over(self, machine: str, tasks: int) -> None:
+        """A worker's lease ended; it has killed so many tasks."""
+        self.checker.note(self.loop.time(), f"{machine} lease over, killed {tasks}")
+        self.checker.killed += tasks
 
     # -- gangs -----------------------------------------------------------------------------------
 
@@ -81,7 +81,7 @@
         gang[_number(key)] = (worker, key)
         return list(gang.values())
 
-    def mates(self, worker: SimWorker, key: Key, spec: Spec) -> list[tuple[SimWorker, Key]]:
+    def mates(self, key: Key, spec: Spec) -> list[tuple[SimWorker, Key]]:
         """The other tasks of the same attempt that are there."""
         if spec.kind != "gang":
             return []
--- a/pearstep/core/bounds.py
+++ b/pearstep/core/bounds.py
@@ -22,6 +22,7 @@
 # A worker whose node does not answer tries the next one so long after (PROTOCOL, "Workers").
 RETRY_US = US
 UNANSWERED_US = 4 * US
+NEXT_US = UNANSWERED_US + RETRY_US
 # What of the workers' lease is left alone, for slow answers and clocks that drift.
 MARGIN = 10
 # The shortest lease that can be renewed in time, with answers that take hundreds of milliseconds.
@@ -64,7 +65,7 @@
     gap_us = report_us * 5 // 4
     # From the end of a holder's lease and patience to the first answer of the next one.
     way_us = LATE_US + CLAIM_US + 2 * TURN_US + RETRY_US
-    finding_us = UNANSWERED_US + RETRY_US + gap_us
+    finding_us = NEXT_US + gap_us
     left_us = max(usable_us - way_us - gap_us, 0)
     # Two parts for the lease, which standing still, slow answers and renewals all live on, one for patience.
     lease_us = max(min(lease_us, left_us * 2 // 3), SHORTEST_US)
--- a/pearstep/core/upkeep.py
+++ b/pearstep/core/upkeep.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from . import machine as mc
-from .bounds import RETRY_US, UNANSWERED_US
+from .bounds import NEXT_US
 from .gang import BREAKING, Gang
 from .machine import MACHINE, Machine
 from .model import US
@@ -121,7 +121,7 @@
         """How long silence may last where most machines of the zone are silent with this one: workers that
         have no answers come back once they have been with every node, and then it shows that they live.
         Seen: a zone to which no answers came was deleted before its workers had come round."""
-        return self.cfg.parts * (UNANSWERED_US + RETRY_US) + US if self._most_silent(m, now_us) else 0
+        return self.cfg.parts * NEXT_US + US if self._most_silent(m, now_us) else 0
 
     def _most_silent(self, m: Machine, now_us: int) -> bool:
         return self._most(m, "silent", lambda o: now_us - o.heard_us > 2 * self.cfg.report_us, now_us)
--- a/pearstep/node/workers.py
+++ b/pearstep/node/workers.py
@@ -11,7 +11,7 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from ..core.bounds import RETRY_US, UNANSWERED_US
+from ..core.bounds import NEXT_US
 from ..core.machine import Machine
 from ..core.model import US
 from ..core.orders import Actions, Order, ReportSeen, TaskSeen
@@ -138,7 +138,7 @@
             # Seen: a new holder had sent its token to every machine, and workers on their way to it were sent
             # round instead (76 tasks killed by their lease after all controllers had ended). Whoever had no
             # answer has waited for it.
-            new = now - holder.since_us < UNANSWERED_US + RETRY_US
+            new = now - holder.since_us < NEXT_US
             if new or report.token != holder.stamp or now - first_us >= self.detour_us:
                 return 421, wire.elsewhere(holder.node), {}
         # It was with the holder, and comes because it has no answer there; or nobody holds the part, and one
