--- a/measurements/rig/platform.py
+++ b/measurements/rig/platform.py
@@ -1,20 +1,17 @@
-"""The region's state service and cloud: the stand-ins' own stores behind connections in memory, with the
-protocol's limits, lags, leases and outages."""
+"""The region's state service and cloud behind connections in memory, with the protocol's limits, lags, leases
+and outages. The state service is the stand-in's own."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
-
-import msgspec
+from collections.abc import Awaitable, Callable
 
 from pearstep.core.model import MachineType
 from pearstep.links.budget import Budget
 from pearstep.links.http import Answer
-from pearstep.standin.keys import Keys, NoLease
+from pearstep.standin.state import TICK_S, StateService
 from pearstep.wire import standin as wire
-from pearstep.wire.standin import offers
 
 from .clock import Life, VirtualLoop
 from .net import Request
@@ -28,26 +25,30 @@
     return {k: v[0].decode() for k, v in request.arguments.items()}
 
 
-class State:
+class State(StateService):
     """The state service. ``away``: an outage for all; ``refuses``: nodes that alone get 503."""
 
     def __init__(self, life: Life, rps: float, write_rps: float, value_kb: float, txn_ops: int) -> None:
+        super().__init__(None, rps, write_rps, value_kb, txn_ops)
         self.life = life
-        self.keys = Keys(int(value_kb * 1024), txn_ops)
-        self.requests = Budget(rps, rps, life.now_us)
-        self.writes = Budget(write_rps, write_rps, life.now_us)
         self.away = 0
         self.refuses: set[str] = set()
-        self.news = asyncio.Event()
-        # Told of each key that was written, and its value; None: deleted.
+        # Told of each key that a transaction changed, and its value; None: deleted.
         self.steps: list[Callable[[str, bytes | None], None]] = []
         life.start(self._expire())
 
     async def _expire(self) -> None:
         while True:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(TICK_S)
+            before = self.keys.revision
             if not self.away and self.keys.expire(self.life.now_us()):
-                self._tell()
+                super()._keep(before)
+
+    def _keep(self, before: int) -> None:
+        super()._keep(before)
+        for _, key, value in self.keys.changes("", before) or ():
+            for step in self.steps:
+                step(key, value)
 
     def outage(self, away: bool) -> None:
         """An outage begins or ends; when it ends, all leases have their full time again."""
@@ -55,74 +56,23 @@
         if not self.away:
             for lease in list(self.keys.leases):
                 self.keys.renew(lease, self.life.now_us())
-            self._tell()
-
-    def _tell(self) -> None:
-        self.news.set()
-        self.news = asyncio.Event()
 
-    def door(self, host: str) -> Callable[[Request], object]:
+    def door(self, host: str) -> Callable[[Request], Awaitable[Answer]]:
         """Requests of one host."""
-        return lambda request: self.handle(request, host)
 
-    async def handle(self, request: Request, host: str = "") -> Answer:
-        """One request."""
-        if self.away or host in self.refuses:
-            return TROUBLE
-        if not self.requests.try_take():
-            return MANY
-        try:
-            return await self._handle(request, host)
-        except NoLease:
-            return 400, b'{"error":"no such lease"}', {}
-
-    async def _handle(self, request: Request, host: str) -> Answer:
-        path, keys, args = request.path, self.keys, asked(request)
-        now = self.life.now_us()
-        if path == "/txn":
-            txn = wire.read_txn(request.body)
-            if txn.ops and not self.writes.try_take(len(txn.ops)):
-                return MANY
-            outcome = keys.txn(txn)
-            if isinstance(outcome, list):
-                return 409, wire.conflict(outcome, keys.revision), {}
-            self._tell()
-            for op in txn.ops:
-                for step in self.steps:
-                    step(op.put or op.delete or "", bytes(op.value) if op.put else None)
-            return 200, wire.done(outcome), {}
-        if path == "/kv":
-            found, more = keys.page(
-                args.get("starts", ""), args.get("from", ""), int(args.get("limit", 1000))
-            )
-            return (
-                200,
-                wire.page([wire.pair(k, raw, v, le) for k, v, raw, le in found], more, keys.revision),
-                {},
-            )
-        if path.startswith("/kv/"):
-            one = keys.keys.get(path[4:])
-            if one is None:
-                return 404, wire.done(keys.revision), {}
-            return 200, msgspec.json.encode(wire.pair(path[4:], one[1], one[0], one[2])), {}
-        if path == "/changes":
-            until = now + int(args.get("waitMs", 0)) * 1000
-            while True:
-                log = keys.changes("", int(args["from"]))
-                if log is None:
-                    return 410, wire.done(keys.revision), {}
-                left_s = (until - self.life.now_us()) / 1e6
+        def refused() -> bool:
+            return bool(self.away) or host in self.refuses
+
+        async def answer(request: Request) -> Answer:
+            if refused():
+                return TROUBLE
+            found = await self.handle(request)
+            while request.path == "/changes" and refused():
                 # A watch stays open during an outage, and while its node alone is refused.
-                if (log or left_s <= 0) and not self.away and host not in self.refuses:
-                    return 200, wire.changes(log, keys.revision), {}
-                try:
-                    await asyncio.wait_for(self.news.wait(), max(left_s, 0.2))
-                except TimeoutError:
-                    pass
-        if path == "/leases":
-            return 200, wire.granted(keys.grant(wire.read_lease(request.body).ttl_ms * 1000, now)), {}
-        number = path.removeprefix("/leases/").partition("/")[0]
-        return (200 if keys.renew(int(number), now) else 404), wire.done(keys.revision), {}
+                await asyncio.sleep(TICK_S)
+            return found
+
+        return answer
 
 
 class Rented:
@@ -193,7 +143,7 @@
             return MANY
         await asyncio.sleep(self.rng.uniform(0.02, 0.15))
         if request.path == "/flavors":
-            return 200, offers([
+            return 200, wire.offers([
                 wire.offer(t.name, t.cpus, t.gpus, t.memory_gb, t.boot_us / 1e6, t.price, list(t.zones))
                 for t in self.types.values()
             ]), {}  # fmt: skip
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -57,6 +57,10 @@
         self.checker.look(now)
         return self
 
+    def calm(self, at):
+        self.checker.calm_s = at
+        return self
+
     def done(self, *tasks):
         for task in tasks:
             self.checker.done(self.spec.ref, task)
@@ -88,14 +92,6 @@
 }  # fmt: skip
 
 
-def _calm(self, at):
-    self.checker.calm_s = at
-    return self
-
-
-History.calm = _calm
-
-
 @pytest.mark.parametrize("rule", BROKEN)
 def test_checker_finds_each_rule_broken(rule):
     history = BROKEN[rule]()
