Holders answer only while they know what users were told; late transactions are fenced

Cause 1, the gap: nothing bounded how old a holder's knowledge may be while it prolongs workers' leases. Now core/knowledge.py does: its last complete read, or the word of every other node, counted from when it was asked; past cancel_s less the lease it is blind: 503 to workers, no judging, no placing (bounds known_us, watch_us, telling_us). Peers say over the mesh which cancellations they may tell, the holder stops those tasks at once. A machine is no longer deleted as stuck when the cancellation was heard of late.

Whoever writes under a stamp now also names a key of its own and changes it when an end is not known (node/fence.py).

The rig's checker compared answers by when they arrived: a poll asked before a cancellation was told, and answered after, counted as going back. It now compares when the question was asked; a test for both sides of it. What a poll says of a cancellation counts as telling from now on, which is stricter.

--- a/measurements/rig/checker.py
+++ b/measurements/rig/checker.py
@@ -26,6 +26,7 @@
         self.accepted_s: float | None = None
         self.refused = False
         self.told = ""
+        self.told_s = 0.0
         self.wish_s: float | None = None
         self.cancelled_s: float | None = None
         self.answered_s = at_s
@@ -130,19 +131,23 @@
         """A user submits a job."""
         return self.jobs.setdefault(spec.ref, Seen(spec, at_s))
 
-    def submit_answer(self, ref: str, status: int, stage: str, at_s: float) -> None:
-        """The answer to a submission or its repeat."""
+    def submit_answer(
+        self, ref: str, status: int, stage: str, at_s: float, asked_s: float | None = None
+    ) -> None:
+        """The answer to a submission or its repeat, and when it was asked for."""
         seen = self.jobs[ref]
         if status in (200, 201):
             if seen.accepted_s is None:
                 seen.accepted_s = at_s
-            self._answer(seen, stage, at_s)
+            self._answer(seen, stage, at_s, asked_s)
         elif status in (400, 422):
             if seen.accepted_s is not None:
                 self.breaks(at_s, "forgotten", f"repeat of {ref} gets {status}")
             seen.refused = True
 
-    def poll_answer(self, ref: str, status: int, stage: str, at_s: float) -> None:
+    def poll_answer(
+        self, ref: str, status: int, stage: str, at_s: float, asked_s: float | None = None
+    ) -> None:
         """The answer to a poll; status 0: none."""
         seen = self.jobs.get(ref)
         if seen is None:
@@ -156,33 +161,41 @@
                 others = sum(s > seen.answered_s for s in self.answered_s[-400:])
                 if others > 50:
                     self.breaks(at_s, "forgotten", f"{ref} unanswered for {at_s - seen.answered_s:.0f} s")
-            self._answer(seen, stage, at_s)
+            self._answer(seen, stage, at_s, asked_s)
 
-    def abort_answer(self, ref: str, status: int, stage: str, at_s: float) -> None:
+    def abort_answer(
+        self, ref: str, status: int, stage: str, at_s: float, asked_s: float | None = None
+    ) -> None:
         """The answer to a cancellation."""
         seen = self.jobs[ref]
         if status == 200:
-            self._answer(seen, stage, at_s)
-            if stage == "withdrawn" and seen.cancelled_s is None:
-                seen.cancelled_s = at_s
+            self._answer(seen, stage, at_s, asked_s)
         elif status == 404 and seen.accepted_s is not None:
             self.breaks(at_s, "forgotten", f"cancellation of {ref} gets 404")
 
-    def _answer(self, seen: Seen, stage: str, at_s: float) -> None:
+    def _answer(self, seen: Seen, stage: str, at_s: float, asked_s: float | None) -> None:
+        # A user asks and cancels at the same time: the answer to a question that was asked before all was
+        # over may say so, and arrive after the one that says it is.
+        asked_s = at_s if asked_s is None else asked_s
         ref = seen.spec.ref
         gap_s = at_s - max(seen.answered_s, self.calm_s, at_s if seen.accepted_s is None else seen.accepted_s)
         if gap_s > FORGOTTEN_S:
             self.breaks(at_s, "forgotten", f"{ref} unanswered for {gap_s:.0f} s after all troubles")
         seen.answered_s = at_s
         self.answered_s.append(at_s)
-        if seen.told and stage != seen.told:
+        if seen.told and stage != seen.told and asked_s >= seen.told_s:
             self.breaks(at_s, "went_back", f"{ref} was {seen.told}, now {stage}")
         if stage == "withdrawn" and seen.wish_s is None:
             self.breaks(at_s, "went_back", f"{ref} called cancelled, nobody asked")
         if stage == "done" and len(self.done_tasks.get(ref, ())) < seen.spec.tasks:
             self.breaks(at_s, "not_done", ref)
         if stage in ("done", "withdrawn"):
+            seen.told_s = seen.told_s if seen.told else at_s
             seen.told = stage
+        if stage == "withdrawn" and seen.cancelled_s is None:
+            # By whatever answer: what a poll says was said as well.
+            seen.cancelled_s = at_s
+            self.note(at_s, f"told that {ref} is cancelled")
 
     # -- at the end ------------------------------------------------------------------------------
 
--- a/measurements/rig/cluster.py
+++ b/measurements/rig/cluster.py
@@ -13,7 +13,7 @@
 from pearstep.compacting.place import Compacting
 from pearstep.compacting.settings import HistorySettings
 from pearstep.core.model import US, MachineType, Spec
-from pearstep.core.records import PlaceRec
+from pearstep.core.records import HolderRec, PlaceRec
 from pearstep.node.controller import Controller
 from pearstep.node.settings import Platform, Settings, Tuning
 from pearstep.wire.node import REPORT
@@ -50,12 +50,14 @@
     calm_s: float = 110.0
     until_s: float = 320.0
     history: bool = True
+    run_s: tuple[float, float] = (3.0, 25.0)
+    extra_s: float = 25.0
     tuning: dict[str, Any] = {}
 
     @property
     def cancel_s(self) -> float:
         """How long the tasks of a cancelled job may stay."""
-        return self.lease_s + 25.0
+        return self.lease_s + self.extra_s
 
 
 def setup_of(seed: int, kinds: list[str] | None = None) -> Setup:
@@ -172,7 +174,7 @@
         self.checker.calm_s = setup.calm_s + late_s
         self.world = World(loop, self.checker, 4.0)
         region = Life(loop, "region", "region")
-        self.state = State(region, 250.0, 100.0, 16.0, 16)
+        self.state = State(region, 250.0, 100.0, 16.0, 16, random.Random(f"state {setup.seed}"))
         self.cloud = Cloud(
             loop,
             region,
@@ -190,6 +192,7 @@
             self.net.listen(self.state_addr(node.name), "state", region, door)  # type: ignore[arg-type]
         self.users = Life(loop, "balancer", "users")
         self.balancer = Balancer(self.net, [n.addr for n in self.nodes], random.Random(f"users {setup.seed}"))
+        self.jobs: dict[str, User] = {}
         self.copying: list[Fault] = []
         self.copied = 0
         self.net.taps.append(self._copy)
@@ -245,7 +248,7 @@
         rng = self.rng
         ref = f"req-{len(self.world.uploaded):06d}"
         kind = rng.choices(["array", "gang", "service"], [5, 3, 1])[0]
-        run_s = rng.uniform(3, 25)
+        run_s = rng.uniform(*self.setup.run_s)
         one = dict(
             ref=ref, team=rng.choice(["blue", "red"]), priority=rng.choice([1, 2, 2, 3]), kind=kind,
             estimate_us=int(run_s * rng.uniform(0.5, 1.6)) * US, image=f"img-{rng.randrange(6)}",
@@ -271,7 +274,8 @@
     def submit(self) -> None:
         """A user comes."""
         spec, cancel_s = self.job()
-        self.users.start(User(self.loop, self.balancer, self.checker, spec).live(cancel_s))
+        user = self.jobs[spec.ref] = User(self.loop, self.balancer, self.checker, spec)
+        self.users.start(user.live(cancel_s))
 
     # -- faults ----------------------------------------------------------------------------------
 
@@ -338,18 +342,49 @@
             self.net.cut(a, b, both)
         return self._over([lambda a=a, b=b: self.net.heal(a, b, both) for a, b in pairs])  # type: ignore[misc]
 
+    def _node(self, fault: Fault) -> Node:
+        """The node that is meant."""
+        led = self.state.keys.keys.get("leader")
+        if fault.whom == "leader" and led is not None:
+            name = msgspec.json.decode(led[1], type=HolderRec).node
+            return next(node for node in self.nodes if node.name == name)
+        return self.nodes[fault.who[0] % len(self.nodes)]
+
+    def _late_writes(self, fault: Fault) -> Callable[[], None]:
+        self.state.late = fault.share
+        return lambda: setattr(self.state, "late", 0.0)
+
+    def _slow_state(self, fault: Fault) -> Callable[[], None]:
+        self.state.slow = fault.share
+        return lambda: setattr(self.state, "slow", 0.0)
+
+    def _machine_held(self, fault: Fault) -> Callable[[], None]:
+        """Commands and answers to it are held for seconds and then arrive."""
+        nodes = [n.name for n in self.nodes]
+        return self._cuts([(n, w.name) for w in self._workers(fault) for n in nodes], both=False)
+
+    def _users_cancel(self, fault: Fault) -> None:
+        """Users of jobs with tasks on machines withdraw them, at one node."""
+        addr = self._node(fault).addr
+        running = {task.partition("/")[0] for task in self.checker.where}
+        for ref in sorted(running):
+            seen = self.checker.jobs[ref]
+            if seen.accepted_s is not None and seen.wish_s is None and self.rng.random() < fault.share:
+                seen.wish_s = self.loop.time()
+                self.users.start(self.jobs[ref].cancel(addr=addr))
+
     def _node_crash(self, fault: Fault) -> None:
-        node = self.nodes[fault.who[0] % len(self.nodes)]
+        node = self._node(fault)
         node.crash(fault.back_s)
         if fault.again_s:
             self.loop.call_later(fault.back_s + fault.again_s, node.crash, fault.back_s)
 
     def _nodes_crash(self, fault: Fault) -> None:
         for n in range(len(self.nodes)):
-            self._node_crash(msgspec.structs.replace(fault, who=[n]))
+            self._node_crash(msgspec.structs.replace(fault, who=[n], whom=""))
 
     def _node_still(self, fault: Fault) -> Callable[[], None] | None:
-        return self._still(self.nodes[fault.who[0] % len(self.nodes)].life)
+        return self._still(self._node(fault).life)
 
     def _still(self, life: Life | None) -> Callable[[], None] | None:
         if life is None or life.state != "running":
@@ -358,17 +393,17 @@
         return lambda: life.go_on() if life.state == STILL else None
 
     def _node_isolated(self, fault: Fault) -> Callable[[], None]:
-        node = self.nodes[fault.who[0] % len(self.nodes)]
+        node = self._node(fault)
         pairs = [(node.name, o.name) for o in self.nodes if o is not node] + [(node.name, "state")]
         return self._cuts(pairs)
 
     def _node_refused(self, fault: Fault) -> Callable[[], None]:
-        name = self.nodes[fault.who[0] % len(self.nodes)].name
+        name = self._node(fault).name
         self.state.refuses.add(name)
         return lambda: self.state.refuses.discard(name)
 
     def _node_no_workers(self, fault: Fault) -> Callable[[], None]:
-        name = self.nodes[fault.who[0] % len(self.nodes)].name
+        name = self._node(fault).name
         return self._cuts([(name, w) for w in sorted(self.world.machines)])
 
     def _nodes_apart(self, fault: Fault) -> Callable[[], None]:
--- a/measurements/rig/faults.py
+++ b/measurements/rig/faults.py
@@ -28,14 +28,24 @@
     "report_copies": ("all", 20, 80),
     "spot_taken": ("machine", 0, 0),
     "flood": ("all", 0, 0),
+    "late_writes": ("all", 10, 60),
+    "slow_state": ("all", 10, 60),
+    "machine_held": ("machine", 2, 9),
+    "users_cancel": ("node", 0, 0),
 }
+# What a seed draws from if it is not told otherwise. It stays as it is, so that a seed stays what it was: the
+# later kinds come with the meetings (``meetings.py``).
+DRAWN = sorted(KINDS)
+for later in ("late_writes", "slow_state", "machine_held", "users_cancel"):
+    DRAWN.remove(later)
 BACK_S = (0.0, 0.05, 0.2, 0.9, 6.0)
 
 
 class Fault(msgspec.Struct, omit_defaults=True):
     """``who``: numbers of nodes, zones or machines, drawn from those there are when it begins. ``step``: it
-    begins with so many writes of keys with this prefix after ``at_s``. ``back_s``: after that a process that
-    ended is back; ``again``: it ends once more when it has been back for so long."""
+    begins with so many writes of keys with this prefix after ``at_s``. ``back_s``: after that a process
+    that ended is back; ``again``: it ends once more when it has been back for so long. ``whom``: whoever
+    leads when it begins ("leader") instead of ``who``. ``share``: of transactions, answers, or jobs."""
 
     kind: str
     at_s: float
@@ -46,13 +56,15 @@
     step: str = ""
     count: int = 0
     late_s: tuple[float, float] = (1.0, 40.0)
+    whom: str = ""
+    share: float = 0.3
 
 
 def draw(rng: random.Random, from_s: float, until_s: float, kinds: list[str] | None = None) -> list[Fault]:
     """Three to seven faults; each is over before ``until_s``."""
     out = []
     for _ in range(rng.randint(3, 7)):
-        kind = rng.choice(kinds or sorted(KINDS))
+        kind = rng.choice(kinds or DRAWN)
         subject, least_s, most_s = KINDS[kind]
         for_s = round(rng.uniform(least_s, most_s), 2)
         fault = Fault(
--- a/measurements/rig/platform.py
+++ b/measurements/rig/platform.py
@@ -18,6 +18,9 @@
 
 TROUBLE: Answer = (503, b'{"error":"trouble"}', {})
 MANY: Answer = (429, b"{}", {})
+# How much later a transaction without an answer is carried out, and how long a slow answer takes each way.
+LATE_S = (2.0, 12.0)
+SLOW_S = 1.2
 
 
 def asked(request: Request) -> dict[str, str]:
@@ -28,9 +31,16 @@
 class State(StateService):
     """The state service. ``away``: an outage for all; ``refuses``: nodes that alone get 503."""
 
-    def __init__(self, life: Life, rps: float, write_rps: float, value_kb: float, txn_ops: int) -> None:
+    def __init__(
+        self, life: Life, rps: float, write_rps: float, value_kb: float, txn_ops: int, rng: random.Random
+    ) -> None:
         super().__init__(None, rps, write_rps, value_kb, txn_ops)
         self.life = life
+        self.rng = rng
+        # Shares of transactions that have no answer and are carried out later, and of answers that are slow.
+        self.late = self.slow = 0.0
+        # Transactions that were carried out late: when, and whether their conditions still held.
+        self.carried: list[tuple[float, bool]] = []
         self.away = 0
         self.refuses: set[str] = set()
         # Told of each key that a transaction changed, and its value; None: deleted.
@@ -66,7 +76,20 @@
         async def answer(request: Request) -> Answer:
             if refused():
                 return TROUBLE
+            if request.path == "/txn" and self.rng.random() < self.late:
+                self.life.loop.call_later(
+                    self.rng.uniform(*LATE_S), self._carry_out, request, refused,
+                    context=self.life.context.copy(),
+                )
+                await asyncio.Event().wait()  # no answer, ever
+            slow = self.rng.random() < self.slow
+            if slow:
+                await asyncio.sleep(self.rng.uniform(0.0, SLOW_S))
+                if refused():
+                    return TROUBLE
             found = await self.handle(request)
+            if slow:
+                await asyncio.sleep(self.rng.uniform(0.0, SLOW_S))
             while request.path == "/changes" and refused():
                 # A watch stays open during an outage, and while its node alone is refused.
                 await asyncio.sleep(TICK_S)
@@ -74,6 +97,14 @@
 
         return answer
 
+    def _carry_out(self, request: Request, refused: Callable[[], bool]) -> None:
+        async def work() -> None:
+            if not refused():
+                status = (await self.handle(request))[0]
+                self.carried.append((self.life.loop.time(), status == 200))
+
+        self.life.start(work())
+
 
 class Rented:
     """A machine as the cloud has it."""
--- a/measurements/rig/users.py
+++ b/measurements/rig/users.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -82,38 +83,47 @@
     def __init__(self, loop: VirtualLoop, balancer: Balancer, checker: Checker, spec: Spec) -> None:
         self.loop, self.balancer, self.checker, self.spec = loop, balancer, checker, spec
 
+    async def _ask(
+        self, judge: Callable[..., None], method: str, path: str, body: bytes | None, timeout_s: float,
+        addr: str = "",
+    ) -> int:  # fmt: skip
+        """Ask through the balancer, or one node, and have the answer judged; its status."""
+        asked_s = self.loop.time()
+        if addr:
+            status, data = await self.balancer.net.fetch("balancer", addr, method, path, body, timeout_s)
+        else:
+            status, data = await self.balancer.fetch(method, path, body, timeout_s)
+        judge(self.spec.ref, status, stage_of(data), self.loop.time(), asked_s)
+        return status
+
     async def live(self, cancel_after_s: float | None) -> None:
         """From the submission on, for ever."""
-        ref = self.spec.ref
-        seen = self.checker.submitted(self.spec, self.loop.time())
+        ref, checker = self.spec.ref, self.checker
+        seen = checker.submitted(self.spec, self.loop.time())
         body = submission(self.spec)
         while seen.accepted_s is None and not seen.refused:
             if self.loop.time() - seen.at_s > 60:
                 return
-            status, data = await self.balancer.fetch("POST", JOBS, body, 5.0)
-            self.checker.submit_answer(ref, status, stage_of(data), self.loop.time())
+            status = await self._ask(checker.submit_answer, "POST", JOBS, body, 5.0)
             if status not in (200, 201):
                 await asyncio.sleep(1.0)
         if seen.refused:
             return
         if cancel_after_s is not None:
-            asyncio.ensure_future(self._cancel(cancel_after_s))
+            asyncio.ensure_future(self.cancel(cancel_after_s))
         while True:
             await asyncio.sleep(POLL_S)
-            status, data = await self.balancer.fetch("GET", f"{JOBS}/{ref}", None, 2.0)
-            self.checker.poll_answer(ref, status, stage_of(data), self.loop.time())
+            await self._ask(checker.poll_answer, "GET", f"{JOBS}/{ref}", None, 2.0)
             if self.balancer.rng.random() < 0.02:
                 # A retry may come at any later time.
-                status, data = await self.balancer.fetch("POST", JOBS, body, 5.0)
-                self.checker.submit_answer(ref, status, stage_of(data), self.loop.time())
+                await self._ask(checker.submit_answer, "POST", JOBS, body, 5.0)
 
-    async def _cancel(self, after_s: float) -> None:
+    async def cancel(self, after_s: float = 0.0, addr: str = "") -> None:
+        """Withdraw the job, through the balancer or at one node."""
         await asyncio.sleep(after_s)
         seen = self.checker.jobs[self.spec.ref]
-        seen.wish_s = self.loop.time()
+        seen.wish_s = seen.wish_s or self.loop.time()
+        path = f"{JOBS}/{self.spec.ref}/{CANCEL}"
         while not seen.told:
-            path = f"{JOBS}/{self.spec.ref}/{CANCEL}"
-            status, data = await self.balancer.fetch("POST", path, b"", 5.0)
-            self.checker.abort_answer(self.spec.ref, status, stage_of(data), self.loop.time())
-            if status != 200:
+            if await self._ask(self.checker.abort_answer, "POST", path, b"", 5.0, addr) != 200:
                 await asyncio.sleep(1.0)
--- a/pearstep/core/bounds.py
+++ b/pearstep/core/bounds.py
@@ -34,6 +34,15 @@
 TWICE_US = 400_000
 # Between two looks at what is reached.
 LOOK_US = US // 2
+# Steady clocks drift apart by up to 0.05% (PROTOCOL); two of them are compared, so one part in so many.
+DRIFT = 1000
+# What a worker takes to kill its tasks once its lease is over.
+KILL_US = US
+# The least age of knowledge that a holder must be able to live with: reads that are answered slowly, asked
+# for again four times in it.
+LEAST_KNOWN_US = 4 * US
+# Between two reads of a holder in which nothing has changed, at the most.
+WATCH_US = 10 * US
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -43,7 +52,9 @@
     process stands still before what it knows is doubted; ``agreed_us``: how long peers must say that they
     reach what this node does not, before it gives up what it holds; ``detour_us``: how long a worker that
     its node does not answer is kept from going back there; ``handover_us``: at most so long after a holder's
-    death its workers have an answer from the next one, its nodes being well."""
+    death its workers have an answer from the next one, its nodes being well; ``known_us``: how old what a
+    holder knows of cancellations may be while it answers its workers; ``watch_us``: how long one read waits
+    for changes; ``telling_us``: how long a node knows of a cancellation before it tells users."""
 
     lease_us: int
     takeover_us: int
@@ -53,13 +64,16 @@
     agreed_us: int
     detour_us: int
     handover_us: int
+    known_us: int
+    watch_us: int
+    telling_us: int
 
 
 def derive(
-    worker_lease_us: int, report_us: int, lease_us: int, takeover_us: int, silent_us: int
+    worker_lease_us: int, report_us: int, cancel_us: int, lease_us: int, takeover_us: int, silent_us: int
 ) -> Bounds:
-    """The bounds for workers with this lease and these pauses between reports; the last three are the longest
-    that the operators allow."""
+    """The bounds for workers with this lease and these pauses between reports, where the tasks of a cancelled
+    job must be gone within ``cancel_us``; the last three are the longest that the operators allow."""
     usable_us = worker_lease_us - worker_lease_us // MARGIN
     # Reports come every ``report_us``, give or take a quarter.
     gap_us = report_us * 5 // 4
@@ -70,6 +84,11 @@
     # Two parts for the lease, which standing still, slow answers and renewals all live on, one for patience.
     lease_us = max(min(lease_us, left_us * 2 // 3), SHORTEST_US)
     takeover_us = min(takeover_us, left_us // 3)
+    # A cancellation that a holder does not know was told after its last read was sent. An answer at the age
+    # of ``known_us`` lets a worker's lease live on for its whole length, and then all must be gone.
+    drift_us = max(cancel_us, worker_lease_us + LEAST_KNOWN_US) // DRIFT
+    spare_us = cancel_us - drift_us - KILL_US - worker_lease_us
+    known_us = max(spare_us, LEAST_KNOWN_US)
     return Bounds(
         lease_us=lease_us,
         takeover_us=takeover_us,
@@ -83,4 +102,8 @@
         agreed_us=min(max(usable_us - finding_us - LOOK_US - CLAIM_US - RETRY_US, TWICE_US), AGREED_US),
         detour_us=min(worker_lease_us // 3, UNANSWERED_US),
         handover_us=lease_us + takeover_us + way_us,
+        known_us=known_us,
+        watch_us=min(WATCH_US, known_us // 4),
+        # Where there is no such time beside the lease, users are told so much later: the holder has it then.
+        telling_us=known_us - spare_us,
     )
--- a/pearstep/core/job.py
+++ b/pearstep/core/job.py
@@ -49,7 +49,7 @@
 
     __slots__ = (
         "spec", "state", "stamp", "at_us", "end_us", "routes", "places", "done", "seen_us", "run", "routed",
-        "skip", "lent", "until_us",
+        "skip", "lent", "until_us", "final_us",
     )  # fmt: skip
 
     def __init__(self, rec: JobRec, stamp: int, seen_us: int) -> None:
@@ -59,6 +59,8 @@
         self.at_us = rec.at_us
         self.end_us = rec.end_us
         self.seen_us = seen_us
+        # When this replica learned that it is over.
+        self.final_us = seen_us
         self.routes: dict[int, Route] = {}
         self.places: dict[tuple[int, int], Placed] = {}
         # Tasks that are not for this cluster count as done from the beginning. Those that are lent now are
@@ -79,8 +81,10 @@
         for route in self.routes.values():
             self.routed |= route.mask
 
-    def update(self, rec: JobRec, stamp: int) -> None:
+    def update(self, rec: JobRec, stamp: int, now_us: int) -> None:
         """Take over a newer record; a final state stays, whatever arrives."""
+        if not self.final:
+            self.final_us = now_us
         JOB.move(self, rec.state)
         self.stamp = stamp
         self.end_us = rec.end_us
--- a/pearstep/core/reach.py
+++ b/pearstep/core/reach.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from .bounds import AGREED_US, TWICE_US
+from .knowledge import Knowledge
 from .model import US
 from .states import Table
 
@@ -17,9 +18,16 @@
 WHOLE = "whole"  # serves, holds and judges
 WOKEN = "woken"  # stood still: judges and commands nothing until its lease is renewed and its view read
 LACKING = "lacking"  # lacks a neighbour that its peers reach: holds nothing
+BLIND = "blind"  # knows too little of what users were told to keep anything alive: answers no worker
 
 STANDING = Table(
-    "standing", {WHOLE: (WOKEN, LACKING), WOKEN: (WHOLE, LACKING), LACKING: (WHOLE, WOKEN)}
+    "standing",
+    {
+        WHOLE: (WOKEN, LACKING, BLIND),
+        WOKEN: (WHOLE, LACKING, BLIND),
+        LACKING: (WHOLE, WOKEN, BLIND),
+        BLIND: (WHOLE, WOKEN, LACKING),
+    },
 )
 
 # How long peers' word counts.
@@ -36,8 +44,13 @@
 class Reach:
     """``update`` and ``woke`` are the only places where the state changes, through one table."""
 
-    def __init__(self, patience_us: dict[str, int], rest_us: int, agreed_us: int = AGREED_US) -> None:
+    def __init__(
+        self, patience_us: dict[str, int], rest_us: int, agreed_us: int = AGREED_US,
+        knowledge: Knowledge | None = None,
+    ) -> None:  # fmt: skip
         self.patience_us = patience_us
+        # What this node knows of what users were told; None: it need not.
+        self.knowledge = knowledge
         # How long peers must have said the same: after an outage for all, one of them is served a moment
         # before the others.
         self.agreed_us = agreed_us
@@ -117,7 +130,8 @@
         lacks = [n for n in self.suspects(now_us) if n in self.lacks or self._agreed(n, now_us)]
         before = self.state
         self.lacks = tuple(sorted(lacks))
-        STANDING.move(self, LACKING if lacks else WHOLE if self.settled else WOKEN)
+        blind = self.knowledge is not None and self.knowledge.too_old(now_us)
+        STANDING.move(self, LACKING if lacks else WOKEN if not self.settled else BLIND if blind else WHOLE)
         if before == LACKING and self.state != LACKING:
             # A way back that fails again soon is tried more rarely: what is handed over costs something.
             if now_us - self._left_us > 4 * LONGEST_REST_US:
@@ -133,7 +147,7 @@
 
     def may_judge(self) -> bool:
         """Whether silence means anything, and what the view says may be acted on."""
-        return self.state != WOKEN
+        return self.state not in (WOKEN, BLIND)
 
     def may_claim(self, now_us: int) -> bool:
         """Whether the node may take parts and the lead."""
--- a/pearstep/core/records.py
+++ b/pearstep/core/records.py
@@ -11,6 +11,7 @@
 ``hr/<bucket>``, ``zb/``  finished jobs that have left their records (``history``), and ``compactor``, whoever
                           moves them. Blocks sort last: a node that starts reads everything before them.
 ``part/<n>``, ``leader``  who holds a part or the lead; the stamp is the holder's token.
+``e/<claim>``             changed by that holder when it does not know how a transaction of its has ended.
 """
 
 from __future__ import annotations
@@ -113,6 +114,10 @@
     v: int = 0
 
 
+class FenceRec(msgspec.Struct):
+    """Only its stamp says something (``node/fence.py``)."""
+
+
 class LayoutRec(msgspec.Struct):
     """How machines are dealt to parts: over those of their zone, the parts' zones being named, or over all.
     It is written once, before a machine is recorded, and never changes while there are any."""
@@ -130,6 +135,7 @@
     "part": HolderRec,
     "leader": HolderRec,
     "layout": LayoutRec,
+    "e": FenceRec,
 }
 DECODERS = {kind: msgspec.json.Decoder(cls) for kind, cls in RECORDS.items()}
 
@@ -150,6 +156,11 @@
     return f"r/{part}/{ref}"
 
 
+def fence_key(claim: str) -> str:
+    """The key by which the holder of a part or the lead makes its earlier transactions fail."""
+    return f"e/{claim}"
+
+
 def place_key(part: int, ref: str, chunk: int) -> str:
     """The key of the placements of one chunk of a job's tasks in a part."""
     return f"p/{part}/{ref}/{chunk}"
--- a/pearstep/core/upkeep.py
+++ b/pearstep/core/upkeep.py
@@ -38,7 +38,8 @@
             late = wall_us - job.end_us > self.cfg.cancel_us // 2
             for a in rec.attempts.values():
                 self.stop(a, 0, now_us, actions)
-                if late:
+                # It may have been heard of late, after an outage: then the order needs its time first.
+                if late and now_us - a.stop_us > 2 * self.cfg.report_us + US:
                     self.want_drain(a.machine, "stuck", wall_us)
 
     def _follow_routes(self, now_us: int, actions: Actions) -> None:
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -15,6 +15,7 @@
 from .model import from_ranges
 from .records import (
     BLOCKS,
+    CANCELLED,
     QUEUED,
     ROOTS,
     DrainRec,
@@ -180,7 +181,7 @@
                     if late_rec is not None:
                         self._apply(late_key, late_stamp, late_rec, now_us)
             else:
-                job.update(rec, stamp)
+                job.update(rec, stamp, now_us)
                 if job.vacated:
                     for where, placed in job.places.items():
                         job.places[where] = empty = placed.vacated()
@@ -244,6 +245,15 @@
                 self.on.setdefault(place.machine, {})[ref, task] = place
         job.recount()
 
+    def cancelled_after(self, revision: int) -> list[tuple[str, int, int]]:
+        """The jobs that were cancelled by a later revision, and of which there may be something: job,
+        revision and end, in the order of revisions. What has left its records has no task anywhere."""
+        found = [
+            (ref, job.stamp, job.end_us) for ref, job in self.jobs.items()
+            if job.stamp > revision and job.state == CANCELLED
+        ]  # fmt: skip
+        return sorted(found, key=lambda end: end[1])
+
     def starts_within(self, ref: str) -> int:
         """Within which time an open job is to start for its team's guarantee; 0 if it is not within it."""
         return self.guarantees.starts_within(ref, self.open, self.changes)
--- a/pearstep/node/chief.py
+++ b/pearstep/node/chief.py
@@ -18,6 +18,7 @@
 from ..core.view import View
 from ..links.store import COMMITTED, CONFLICT, REFUSED, Store
 from .cloud import Cloud
+from .fence import Fence
 from .settings import Settings, us
 
 log = logging.getLogger("pearstep.chief")
@@ -62,6 +63,7 @@
                 us(renting.move_s), dearest=renting.dearest,
             ),
         )  # fmt: skip
+        self.fence = Fence(store, view, "leader", stamp, applied, fresh)
         self.requests = 0
         self.asked: dict[str, int] = {}
         # When machines of each kind were last asked for: kinds take turns.
@@ -77,7 +79,7 @@
         """Write under this leadership's stamp; how it ended (``links.store``). What is committed is known
         here at once, and after a conflict the view is read anew."""
         outcome = await self.store.txn(
-            {"leader": self.stamp, **conditions}, {k: (v, None) for k, v in puts.items()}, deletes
+            {**self.fence.conditions(), **conditions}, {k: (v, None) for k, v in puts.items()}, deletes
         )
         if outcome.state == COMMITTED:
             for key, value in puts.items():
@@ -87,7 +89,9 @@
         elif outcome.state != REFUSED:
             if outcome.state == CONFLICT:
                 log.info("leader: write stood back for %s", outcome.failed[:4])
-            await self.fresh()
+                await self.fresh()
+            else:
+                await self.fence.close(self.current)
         return outcome.state
 
     def current(self) -> bool:
--- a/pearstep/node/controller.py
+++ b/pearstep/node/controller.py
@@ -77,13 +77,15 @@
             settings.tuning.guarding.retry_after_s, settings.txn_ops,
         )  # fmt: skip
         self.users.home = settings.home
+        self.users.telling_us = settings.bounds.telling_us
+        self.follower.watch_ms = settings.bounds.watch_us // 1000
         self.workers = Workers(
             client, self.view, self.owners, self.node, settings.parts, settings.zones, now_us, wall_us,
             self.dirty.set, settings.bounds.detour_us,
         )  # fmt: skip
-        self.mesh = Mesh(client, [o.peer_addr for o in settings.platform.others])
+        self.mesh = Mesh(client, {o.node: o.peer_addr for o in settings.platform.others})
         self.watch = Watch(settings, self.store, self.cloud, self.workers, self.mesh, self.view,
-                           self.owners, now_us)
+                           self.owners, self.follower, now_us)
         self.holding = Holding(
             settings, self.store, self.view, self.types, self.owners, self.follower, self.watch,
             self._new_owner, self._new_chief, self._gained,
--- a/pearstep/node/following.py
+++ b/pearstep/node/following.py
@@ -40,6 +40,10 @@
         self._refresh: asyncio.Future[bool] | None = None
         self._refreshing = False
         self._refreshed_us = 0
+        # How long a read waits for changes.
+        self.watch_ms = 10_000
+        # Told when a read was sent whose answer is taken in: all that was committed before is known.
+        self.read: Callable[[int], None] = lambda sent_us: None
 
     @property
     def loaded(self) -> bool:
@@ -49,6 +53,7 @@
     async def load(self) -> bool:
         """Read everything anew."""
         # Blocks of finished jobs come last, and nothing waits for them.
+        sent_us = now_us()
         listing = await self.store.list_all(upto=BLOCKS)
         if listing is None:
             return False
@@ -65,6 +70,7 @@
             log.info("loaded %d keys at revision %d, %d open jobs", len(pairs), revision,
                      len(self.view.open))
         self.loads += 1
+        self.read(sent_us)
         self._on_holders()
         return True
 
@@ -75,7 +81,8 @@
                 await asyncio.sleep(random.uniform(0.2, 0.4))
                 return
         pause = self._pause_s
-        changes = await self.store.changes(self.view.revision, 10_000)
+        sent_us = now_us()
+        changes = await self.store.changes(self.view.revision, self.watch_ms)
         if isinstance(changes, int):
             if changes == 410:
                 await self.load()
@@ -83,6 +90,7 @@
                 await asyncio.sleep(random.uniform(0.15, 0.4))
             return
         self.apply_changes(changes)
+        self.read(sent_us)
         await asyncio.sleep(pause)
         while (rest_us := self._refreshed_us + int(pause * US) - now_us()) > 0:
             # What users ask keeps the view up to date already: no need to read the changes twice.
@@ -131,6 +139,7 @@
             while self._refresh is not None:
                 waiting, self._refresh = self._refresh, None
                 ok = False
+                sent_us = now_us()
                 try:
                     changes = await self.store.changes(self.view.revision, 0, urgency=0)
                     if isinstance(changes, int):
@@ -138,6 +147,7 @@
                     else:
                         self.apply_changes(changes)
                         self._refreshed_us = now_us()
+                        self.read(sent_us)
                         ok = True
                 except Exception:
                     log.exception("refresh failed")
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -79,6 +79,8 @@
         if self.watch.stood_still() and not self._settling:
             self._settling = True
             asyncio.ensure_future(self._settle())
+        elif self.reach.state != WOKEN:
+            self.watch.update()
         return self.reach.may_judge()
 
     async def _settle(self) -> None:
@@ -107,11 +109,7 @@
     async def look(self) -> None:
         """One look at how the node stands, and what follows from it."""
         await asyncio.sleep(LOOK_US / US)
-        before = self.reach.state
-        self.watch.loaded = self.follower.loaded
         await self.watch.look()
-        if self.reach.state != before:
-            log.info("%s %s", self.reach.state, ", ".join(self.reach.lacks))
         if self.reach.state == LACKING and (self.owners or self.chief):
             await self._give_up()
 
--- a/pearstep/node/mesh.py
+++ b/pearstep/node/mesh.py
@@ -1,10 +1,12 @@
 """The other nodes. They tell each other what they reach: the state service, the cloud, and the workers of
-each part, as far as these have knocked at the wrong door. A node asks only while it misses something."""
+each part, as far as these have knocked at the wrong door; and which cancellations they may tell users. A node
+asks only while it misses something."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import msgspec
 from tornado.httputil import HTTPServerRequest
@@ -21,16 +23,47 @@
     state_ok: bool
     cloud_ok: bool = False
     knocks: dict[int, int] = {}
+    # The cancellations that it may tell users, beyond the revision it was asked for: job, revision, end
+    # (time of day, microseconds). None: it does not say, as a node of an earlier release. ``more``: these
+    # are not all.
+    cancelled: list[tuple[str, int, int]] | None = None
+    more: bool = False
+    # How long its process has lived, if that has not read the records yet.
+    up_us: int | None = None
+
+
+class Question(NamedTuple):
+    """What a peer is asked. ``cloud``: it asks the cloud first; ``workers``: it says who knocked; ``after``:
+    the revision from which on it says what it may tell users, None: it need not."""
+
+    cloud: bool = False
+    workers: bool = True
+    after: int | None = None
+
+    @property
+    def path(self) -> str:
+        """How it is put."""
+        asked = {wire.MESH_CLOUD: self.cloud, wire.MESH_WORKERS: self.workers}
+        words = [f"{name}=1" for name, wanted in asked.items() if wanted]
+        words += [f"{wire.MESH_AFTER}={self.after}"] if self.after is not None else []
+        return wire.MESH_STATUS + ("?" + "&".join(words) if words else "")
+
+    @classmethod
+    def read(cls, arguments: dict[str, list[bytes]]) -> Question:
+        """From a request. A node of an earlier release asks for workers without saying so."""
+        after = arguments.get(wire.MESH_AFTER, [b""])[0]
+        known = int(after) if after.isdigit() else None
+        return cls(wire.MESH_CLOUD in arguments, known is None or wire.MESH_WORKERS in arguments, known)
 
 
 class Mesh:
-    """Asks the peers, and answers them."""
+    """Asks the peers, and answers them. ``peers``: their addresses by name."""
 
-    def __init__(self, client: Client, peers: list[str]) -> None:
+    def __init__(self, client: Client, peers: dict[str, str]) -> None:
         self.client = client
         self.peers = peers
-        # Set by whoever knows; with True it asks the cloud first.
-        self.status: Callable[[bool], Awaitable[Status]] | None = None
+        # Set by whoever knows.
+        self.status: Callable[[Question], Awaitable[Status]] | None = None
 
     async def handle(self, request: HTTPServerRequest) -> Answer:
         """Answer a peer."""
@@ -40,19 +73,21 @@
             return 405, wire.error_answer("method not allowed"), {"Allow": "GET"}
         if self.status is None:
             return 503, wire.error_answer("starting"), {}
-        return 200, msgspec.json.encode(await self.status("cloud" in request.arguments)), {}
-
-    async def ask(self, cloud: bool = False) -> list[Status]:
-        """What the peers that answer say; with ``cloud`` they ask the cloud first."""
-        path = wire.MESH_STATUS + ("?cloud=1" if cloud else "")
-        answers = await asyncio.gather(
-            *(self.client.fetch(p, "GET", path, timeout_s=3.0 if cloud else 1.0) for p in self.peers)
-        )
-        out = []
-        for status, body in answers:
-            if status == 200:
-                try:
-                    out.append(msgspec.json.decode(body, type=Status))
-                except msgspec.MsgspecError:
-                    continue
-        return out
+        return 200, msgspec.json.encode(await self.status(Question.read(request.arguments))), {}
+
+    async def ask(self, question: Question) -> list[Status]:
+        """What the peers that answer say."""
+        answers = await asyncio.gather(*(self.ask_one(name, question) for name in self.peers))
+        return [answer for answer in answers if answer is not None]
+
+    async def ask_one(self, name: str, question: Question) -> Status | None:
+        """What one peer says; None if there is no answer."""
+        timeout_s = 3.0 if question.cloud else 1.0
+        status, body = await self.client.fetch(self.peers[name], "GET", question.path, timeout_s=timeout_s)
+        if status != 200:
+            return None
+        try:
+            found = msgspec.json.decode(body, type=Status)
+        except msgspec.MsgspecError:
+            return None
+        return found if found.node == name else None
--- a/pearstep/node/owning.py
+++ b/pearstep/node/owning.py
@@ -15,6 +15,7 @@
 from ..links.clocks import now_us, wall_us
 from ..links.store import COMMITTED, CONFLICT, REFUSED, Store
 from .cloud import Cloud
+from .fence import Fence
 from .following import Follower
 from .settings import Leading
 from .workers import Workers
@@ -89,6 +90,8 @@
         self.dirty.set()
 
     async def _commit(self, owner: Owner) -> None:
+        fence = Fence(self.store, self.view, f"part/{owner.part}", owner.token, self.follower.applied,
+                      self.follower.fresh)
         try:
             while self.owners.get(owner.part) is owner:
                 if not owner.has_writes(now_us()):
@@ -97,7 +100,9 @@
                 batch = owner.gather(now_us(), wall_us())
                 if batch is None:
                     return
-                outcome = await self.store.txn(batch.conditions, batch.puts, batch.deletes)
+                outcome = await self.store.txn(
+                    {**batch.conditions, **fence.conditions()}, batch.puts, batch.deletes
+                )
                 actions = Actions()
                 if outcome.state == COMMITTED:
                     owner.committed(batch, outcome.revision, actions)
@@ -117,6 +122,9 @@
                 else:
                     log.info("part %d: commit %s %s", owner.part, outcome.state, outcome.failed[:4])
                     # What stands in the way, or whether it was applied after all, only a new view tells.
+                    if outcome.state != CONFLICT:
+                        if not await fence.close(lambda: self.owners.get(owner.part) is owner):
+                            return
                     while not await self.follower.fresh():
                         await asyncio.sleep(random.uniform(0.1, 0.3))
                         if self.owners.get(owner.part) is not owner:
--- a/pearstep/node/users.py
+++ b/pearstep/node/users.py
@@ -15,6 +15,7 @@
 from ..core.records import CANCELLED, DONE, JobRec
 from ..core.view import View
 from ..links.budget import URGENT
+from ..links.clocks import now_us
 from ..links.http import Answer
 from ..links.store import COMMITTED, CONFLICT, Outcome, Store
 from ..wire import node as wire
@@ -70,6 +71,8 @@
         self._wall_us = wall_us
         self.home: int | None = None
         self.cancelling: Callable[[Job], Awaitable[dict[str, int] | None]] | None = None
+        # How long a cancellation is known here before users are told (``Bounds.telling_us``).
+        self.telling_us = 0
         # Of jobs that have left their records.
         self.past: Past | None = None
         self._retry = {"Retry-After": str(retry_after_s)}
@@ -127,7 +130,7 @@
         Final states never change and may be told from memory."""
         job = self.view.jobs.get(ref)
         if job is not None and job.final:
-            return job
+            return job if self._may_tell(job) else False
         past = await self._ask_past(ref) if job is None else None
         if isinstance(past, Ended):
             return past
@@ -136,11 +139,18 @@
         if not self.ready or self.store.away() or not await self._fresh():
             return False
         if ref in self.view.jobs:
-            return self.view.jobs[ref]
+            job = self.view.jobs[ref]
+            return job if self._may_tell(job) else False
         if past is None or not self._stand(past):
             past = await self._ask_past(ref)
         return past if isinstance(past, Ended) else None if past is not None else False
 
+    def _may_tell(self, job: Job) -> bool:
+        """Whether users may hear what is known. Where the time that tasks of a cancelled job may stay is
+        hardly longer than the workers' lease, holders have to know of it before its user does: it is told
+        later."""
+        return job.state != CANCELLED or now_us() - job.final_us >= self.telling_us
+
     async def _ask_past(self, ref: str) -> Ended | dict[str, int] | None:
         """What is known of an id that has no record: how it ended, or the conditions under which it is new;
         None if that can't be told now."""
@@ -298,6 +308,8 @@
             if outcome.state == COMMITTED:
                 self._apply(key, outcome.revision, rec)
                 log.info("cancelled %s", ref)
+                if not self._may_tell(self.view.jobs[ref]):
+                    return self.away("cancelled, and told once every controller knows")
                 return 200, wire.job_answer(ref, CANCELLED), {}
             if outcome.state != CONFLICT:
                 break
--- a/pearstep/node/watch.py
+++ b/pearstep/node/watch.py
@@ -3,18 +3,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
 
 from ..core import machine as mc
+from ..core.knowledge import Knowledge
 from ..core.model import US
 from ..core.owner import Owner
-from ..core.reach import CLOUD, STATE, WOKEN, WORKERS, Reach
+from ..core.reach import BLIND, CLOUD, STATE, WHOLE, WOKEN, WORKERS, Reach
+from ..core.records import CANCELLED, JobRec
 from ..core.view import View
 from ..links.store import Store
 from .cloud import Cloud
-from .mesh import Mesh, Status
+from .following import Follower
+from .mesh import Mesh, Question, Status
 from .settings import Settings
 from .workers import ASKED, Workers
 
@@ -25,6 +29,8 @@
 # How long workers may take to find a new owner, and how long one at the wrong door counts as news.
 FINDING_US = 8 * US
 KNOCK_US = 6 * US
+# Cancellations in one answer to a peer.
+MOST_ENDS = 500
 
 
 class Watch:
@@ -32,13 +38,16 @@
 
     def __init__(
         self, settings: Settings, store: Store, cloud: Cloud, workers: Workers, mesh: Mesh, view: View,
-        owners: dict[int, Owner], now_us: Callable[[], int],
+        owners: dict[int, Owner], follower: Follower, now_us: Callable[[], int],
     ) -> None:  # fmt: skip
         lease_us = settings.bounds.lease_us
         # Our lease lives on for its whole time after the last renewal: till then nobody can follow us,
         # and stepping down earlier would leave the workers to nobody.
         patience_us = {STATE: lease_us, WORKERS: 0, CLOUD: CLOUD_PATIENCE_US}
-        self.reach = Reach(patience_us, 2 * lease_us, settings.bounds.agreed_us)
+        self.knowledge = Knowledge(settings.bounds.known_us, list(mesh.peers), now_us())
+        self.reach = Reach(patience_us, 2 * lease_us, settings.bounds.agreed_us, self.knowledge)
+        self.follower = follower
+        follower.read = self.knowledge.read
         self.settings = settings
         self.store = store
         self.cloud = cloud
@@ -47,22 +56,34 @@
         self.view = view
         self.owners = owners
         self.now_us = now_us
-        self.loaded = False
         self._asked_us = 0
-        self._tick_us = now_us()
+        self._tick_us = self._born_us = now_us()
+        # Since when this node is blind, and when it last was.
+        self._blind_us: int | None = None
+        # The last state that was logged.
+        self._shown = WHOLE
+        self._seeing_us = -FINDING_US
         self.unheard: dict[int, int] = {}
         mesh.status = self.status
         cloud.note = lambda ok: self.reach.note(CLOUD, ok, now_us())
 
-    async def status(self, cloud: bool) -> Status:
+    async def status(self, question: Question) -> Status:
         """What a peer is told."""
-        if cloud:
+        if question.cloud:
             await self.cloud.types()
-        return Status(
-            self.settings.node, self.loaded and self.store.refused_since is None,
-            CLOUD not in self.reach.failing,
-            await self.workers.knocked_in_earnest(max(2 * self.settings.report_us, KNOCK_US)),
+        knocks: dict[int, int] = {}
+        if question.workers:
+            knocks = await self.workers.knocked_in_earnest(max(2 * self.settings.report_us, KNOCK_US))
+        loaded = self.follower.loaded
+        out = Status(
+            self.settings.node, loaded and self.store.refused_since is None, CLOUD not in self.reach.failing,
+            knocks,
         )  # fmt: skip
+        if question.after is not None:
+            cancelled = self.view.cancelled_after(question.after)
+            out.cancelled, out.more = cancelled[:MOST_ENDS], len(cancelled) > MOST_ENDS
+            out.up_us = None if loaded else self.now_us() - self._born_us
+        return out
 
     def stood_still(self) -> bool:
         """Whether the process stood still since the last look; if so everything is doubtful until
@@ -83,6 +104,9 @@
     def _hear_workers(self, now: int) -> None:
         """Whether nearly all machines of a part have stopped reporting here."""
         limit = self.settings.report_us + US
+        if now - self._seeing_us < FINDING_US:
+            # It sent its workers away until then.
+            limit += FINDING_US
         self.unheard = {}
         for part, owner in self.owners.items():
             machines = [m for m in owner.machines.values() if m.state not in (mc.DELETING, mc.GONE)]
@@ -93,7 +117,7 @@
             if silent >= 2 and silent * 4 >= len(machines) * 3:
                 self.unheard[part] = silent
         if self.owners:
-            self.reach.note(WORKERS, not self.unheard, now)
+            self.reach.note(WORKERS, not self.unheard or self.reach.state == BLIND, now)
 
     async def look(self) -> None:
         """One look at everything, about twice a second."""
@@ -101,19 +125,44 @@
         self.reach.note(STATE, self.store.refused_since is None, self.store.refused_since or now)
         self._hear_workers(now)
         suspects = self.reach.doubts(now)
-        if suspects and self.mesh.peers:
+        aging = self.follower.loaded and self.knowledge.aging(now)
+        if aging and self.store.refused_since is None:
+            # It is served, but the answer to the read that waits for changes does not come.
+            asyncio.ensure_future(self.follower.fresh())
+        if (suspects or aging) and self.mesh.peers:
             await self._ask(suspects)
         if WORKERS in self.reach.lacks:
             await self._look_for_workers()
         if self.reach.state != WOKEN:
-            self.reach.update(self.now_us())
+            self.update()
+
+    def update(self) -> None:
+        """Follow the evidence, also that of time alone: nothing may be answered with knowledge too old."""
+        now = self.now_us()
+        state = self.reach.update(now)
+        if state != self._shown:
+            log.info("%s %s", state, ", ".join(self.reach.lacks))
+            self._shown = state
+        if state == BLIND and self._blind_us is None:
+            self._blind_us = now
+        elif state != BLIND and self._blind_us is not None:
+            # Nobody was answered meanwhile: that time is not silence of theirs.
+            for owner in self.owners.values():
+                owner.stood_still(now - self._blind_us, now)
+            self._blind_us, self._seeing_us = None, now
 
     async def _ask(self, suspects: list[str]) -> None:
         now = self.now_us()
         cloud = CLOUD in suspects and now - self._asked_us > 2 * US
         if cloud:
             self._asked_us = now
-        peers = await self.mesh.ask(cloud)
+        question = Question(
+            cloud, WORKERS in suspects, self.view.revision if self.follower.loaded else None
+        )
+        peers = await self.mesh.ask(question)
+        if question.after is not None:
+            for peer in peers:
+                await self._hear_ends(peer, question.after, now)
         now = self.now_us()
         self.reach.met(bool(peers))
         if STATE in suspects:
@@ -127,6 +176,21 @@
         if cloud:
             self.reach.heard(CLOUD, any(p.cloud_ok for p in peers), now)
 
+    async def _hear_ends(self, peer: Status, after: int, sent_us: int) -> None:
+        """Take in the cancellations that a peer may tell users. They are committed, so they are taken in as
+        what they are; of a job that is not known here nothing was ever placed by this node."""
+        answer: Status | None = peer
+        while answer is not None and answer.cancelled is not None:
+            for ref, stamp, end_us in answer.cancelled:
+                job = self.view.jobs.get(ref)
+                if job is not None and not job.final:
+                    self.follower.applied(f"j/{ref}", stamp, JobRec(job.spec, job.at_us, CANCELLED, end_us))
+                after = max(after, stamp)
+            if not answer.more:
+                self.knowledge.vouched(peer.node, sent_us, self.now_us(), answer.up_us)
+                return
+            answer = await self.mesh.ask_one(peer.node, Question(workers=False, after=after))
+
     async def _look_for_workers(self) -> None:
         """Nobody reports to a node that owns nothing: it asks some of the workers itself."""
         addrs = [
--- a/pearstep/wire/node.py
+++ b/pearstep/wire/node.py
@@ -26,6 +26,7 @@
 MESH_STATUS = "/mesh/status"
 
 BODY_LIMIT = 64 * 1024
+MESH_CLOUD, MESH_WORKERS, MESH_AFTER = "cloud", "workers", "after"
 REF = r"^req-[0-9]{1,20}$"
 
 Ref = Annotated[str, Meta(pattern=REF)]
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -20,7 +20,7 @@
 
 def ordered(lease_s, report_s):
     lease_us, report_us = int(lease_s * US), int(report_s * US)
-    b = derive(lease_us, report_us, *SET)
+    b = derive(lease_us, report_us, lease_us + 25 * US, *SET)
     # A successor answers before the workers' lease is over, counted from a report a whole pause before.
     assert b.handover_us + report_us * 5 // 4 < lease_us
     # A lease is renewed four times in its length, each with time for a slow answer.
@@ -63,5 +63,5 @@
 
 
 def test_a_lease_without_any_time_left_still_gives_bounds_that_work():
-    b = derive(2 * US, US, *SET)
+    b = derive(2 * US, US, 40 * US, *SET)
     assert b.lease_us == SHORTEST_US and b.takeover_us == 0 and b.gap_us > 0
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -120,6 +120,13 @@
     assert set(silent.checker.kinds) == {"forgotten"}
 
 
+def test_answer_to_a_question_asked_before_the_final_answer_went_nowhere():
+    for asked_s, rules in ((4.9, set()), (5.0, {"went_back"})):
+        history = lived().at(5.0).cancels()
+        history.checker.poll_answer("req-1", 200, "queued", 5.1, asked_s)
+        assert set(history.checker.kinds) == rules
+
+
 def test_checker_finds_nothing_where_all_is_well():
     well = lived().done(0, 1).off("m0").off("m1", 1).told(200, "done").on("m2").off("m2").told(200, "done")
     cancelled = History().job("req-2").on("m0").cancels()
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -54,9 +54,9 @@
     assert world.starts(world.run())
     # Its end says nothing of the time; another time, later or sooner, counts at once.
     job = world.view.jobs["req-1"]
-    job.update(JobRec(spec(tasks=1), world.now), job.stamp)
+    job.update(JobRec(spec(tasks=1), world.now), job.stamp, world.now)
     assert job.until_us == world.now + 9 * US
-    job.update(JobRec(spec(tasks=1), world.now, until_us=world.now), job.stamp)
+    job.update(JobRec(spec(tasks=1), world.now, until_us=world.now), job.stamp, world.now)
     assert job.over(world.now)
 
 
