--- a/pearstep/core/placing.py
+++ b/pearstep/core/placing.py
@@ -121,6 +121,7 @@
 
     def _walk(self, now_us: int, wall_us: int) -> list[Seat]:
         """Start what can start; the seats as they are then."""
+        self.troubles.relent(now_us)
         items = self.items(now_us, wall_us)
         seats = self.seats(now_us) if items or self._any_wide() else []
         self._place_wide(seats, now_us, wall_us)
--- a/pearstep/core/reports.py
+++ b/pearstep/core/reports.py
@@ -194,6 +194,13 @@
         out: list[Order] = []
         for (name, number), a in m.attempts.items():
             if a.stop_grace_us is not None:
+                if a.state == PLACED and (name, number) in m.open_directs and self._may_begin(a.spec.ref):
+                    # Its start was sent straight there and nothing came back: it may be lost, or arrive at
+                    # any time, so the place can't be freed. Begun and ended it is known to the worker, and
+                    # a late start does nothing. Seen (rig, seed 1185): the mates of a gang were lost while
+                    # one machine was deaf, and that one's place stayed taken, the gang not run, for as long
+                    # as it lived.
+                    out.append(("start", name, number, None))
                 if a.state in (PLACED, HEARD) and not (a.phase == "saving" and a.stop_grace_us):
                     out.append(("stop", name, number, a.stop_grace_us / US))
             elif a.state == PLACED and not self._cancelled(a.spec.ref):
@@ -205,6 +212,10 @@
                 out.append(("forget", *key, None))
         return out
 
+    def _may_begin(self, ref: str) -> bool:
+        """Whether a task of the job may still begin, for however short a time."""
+        return not self._cancelled(ref) and not self.view.jobs[ref].until_us
+
     def _cancelled(self, ref: str) -> bool:
         job = self.view.jobs.get(ref)
         return job is None or job.state == CANCELLED
--- a/pearstep/core/trouble.py
+++ b/pearstep/core/trouble.py
@@ -19,6 +19,8 @@
         self.sick_errors = sick_errors
         self.by_machine: dict[str, dict[str, int]] = {}
         self.by_job: dict[str, set[str]] = {}
+        # Until when a job keeps away from the machines that it failed on.
+        self.away_until: dict[str, int] = {}
         self.told: set[str] = set()
         self.good_jobs: set[str] = set()
         self.rest_until: dict[str, int] = {}
@@ -39,7 +41,7 @@
 
     def forget(self, ref: str) -> None:
         """The job is over."""
-        for known in (self.by_job, self.rest_until, self.tries):
+        for known in (self.by_job, self.away_until, self.rest_until, self.tries):
             known.pop(ref, None)
         self.told.discard(ref)
         self.good_jobs.discard(ref)
@@ -51,6 +53,7 @@
         errors = self.by_machine.setdefault(machine, {})
         errors[ref] = errors.get(ref, 0) + 1
         self.by_job.setdefault(ref, set()).add(machine)
+        self.away_until[ref] = now_us + LONGEST_REST_S * US
         tries = self.tries[ref] = self.tries.get(ref, 0) + 1
         if self.suspect(ref):
             self.rest_until[ref] = now_us + min(2 ** min(tries, 6), LONGEST_REST_S) * US
@@ -93,8 +96,15 @@
         """When the job may be tried again."""
         return self.rest_until.get(ref, 0)
 
+    def relent(self, now_us: int) -> None:
+        """Time has passed: jobs may go back to where they failed long ago. Seen (rig, seed 1184): a job
+        failed on a machine that was sick for a while, the only one of its part, and was never tried again;
+        the leader saw room there and left it."""
+        for ref in [ref for ref, until in self.away_until.items() if until <= now_us]:
+            del self.away_until[ref]
+
     def avoid(self, ref: str) -> frozenset[str]:
-        """Machines on which the job has failed, as long as that does not condemn the job."""
-        if self.suspect(ref):
+        """Machines on which the job has failed of late, as long as that does not condemn the job."""
+        if self.suspect(ref) or ref not in self.away_until:
             return frozenset()
         return frozenset(self.by_job.get(ref, ()))
--- a/tests/test_faulty.py
+++ b/tests/test_faulty.py
@@ -164,3 +164,22 @@
         w.owner.committed(batch, revision, Actions())
         w.owner.recs["req-0", 0].dirty = True
     assert turns == {f"req-{n}" for n in range(6)}
+
+
+def test_job_goes_back_to_the_only_machine_that_it_failed_on_after_a_while():
+    # Seen (rig, seed 1184): its machine was sick for a while and the only one of the part; nothing else was
+    # rented, for there was room, and the job was never tried again.
+    w = World()
+    w.machine("m0")
+    w.submit(spec(tasks=1))
+    assert fail_all(w) == {"req-1": 1}
+    for _ in range(LONGEST_REST_S // 5 - 1):
+        w.later(5)
+        w.report("m0")
+        assert not w.starts(w.run())
+    for _ in range(3):
+        w.later(5)
+        w.report("m0")
+        if w.starts(w.run()):
+            return
+    raise AssertionError("never tried again")
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -486,3 +486,30 @@
     w.submit(spec("req-2", tasks=9, priority=2))
     started = {name for _, name, _ in w.starts(w.run())}
     assert started == {"req-1/0", "req-2/0", "req-2/1"}
+
+
+def test_place_whose_direct_start_was_lost_is_freed_although_it_is_to_stop():
+    # Seen (rig, seed 1185): the order to stop came before anything was heard of the start; the direct command
+    # had no answer any more, and the place stayed taken for as long as the machine lived.
+    w = World()
+    machine, task, number = w.place_one()
+    m = w.owner.machines[machine]
+    w.owner.directs_sent(m, [("start", task, number, None)], w.now)
+    (attempt,) = m.attempts.values()
+    w.owner.stop(attempt, 0, w.now, Actions())
+    orders = w.report(machine)
+    assert orders == [("start", task, number, None), ("stop", task, number, 0.0)] and m.attempts
+    w.report(machine, (task, number, "exited", "stopped"))
+    w.run()
+    # Free, and placed anew; the worker is not told to forget what a late start would begin again.
+    assert number not in {n for _, n in m.attempts}
+    assert ("forget", task, number, None) not in w.report(machine, (task, number, "exited", "stopped"))
+
+
+def test_lost_direct_start_of_a_cancelled_job_is_not_sent_again():
+    w = World()
+    machine, task, number = w.place_one()
+    w.owner.directs_sent(w.owner.machines[machine], [("start", task, number, None)], w.now)
+    w.put("j/req-1", JobRec(spec(tasks=1), w.now, CANCELLED, w.now))
+    w.run()
+    assert w.report(machine) == [("stop", task, number, 0.0)]
