--- a/tests/test_freshness_model.py
+++ b/tests/test_freshness_model.py
@@ -6,11 +6,12 @@
 "free while it runs, or while it can still begin" is "ran twice".
 """
 
-from collections import deque
 from typing import NamedTuple
 
 import pytest
 
+from .world import walk
+
 MOST_SEQ = 7
 
 
@@ -113,17 +114,7 @@
 
 def explore(guards: frozenset[str]) -> tuple[int, str]:
     """How many states there are, and the first that is wrong."""
-    first = State()
-    seen, todo = {first}, deque([first])
-    while todo:
-        state = todo.popleft()
-        for after in steps(state, guards):
-            if after not in seen:
-                if found := wrong(after):
-                    return len(seen), found
-                seen.add(after)
-                todo.append(after)
-    return len(seen), ""
+    return walk(State(), lambda s: steps(s, guards), wrong)
 
 
 def test_whatever_comes_late_nothing_is_believed_that_is_not_so():
--- a/tests/test_knowledge_model.py
+++ b/tests/test_knowledge_model.py
@@ -8,13 +8,14 @@
 caught.
 """
 
-from collections import deque
 from typing import NamedTuple
 
 import pytest
 
 from pearstep.core.knowledge import NEVER_US, Knowledge
 
+from .world import walk
+
 CANCEL, LEASE = 4, 2
 LIMIT = CANCEL - LEASE
 END = 6
@@ -44,7 +45,7 @@
 
 class State(NamedTuple):
     """``tried``: A's transaction was sent; ``lease``: when the worker's lease is over; ``told``: when the
-    first user was told; ``read``: the holder's read on its way."""
+    first user was told; ``asked``: an answer on its way to the holder."""
 
     now: int = 0
     tried: bool = False
@@ -122,24 +123,21 @@
     return out
 
 
+def wrong(s: State) -> str:
+    """What must never be."""
+    late = s.runs and s.told is not None and s.now >= s.told + CANCEL
+    return "a task of a job that was called cancelled is still there" if late else ""
+
+
+def further(s: State) -> bool:
+    """What no longer runs, or is to be stopped with the next answer, cannot go wrong any more; nor what would
+    be told too late for this model's end."""
+    return s.runs and not s.knows and (s.now if s.told is None else s.told) + CANCEL <= END
+
+
 def explore(guards: frozenset[str]) -> tuple[int, str]:
-    """How many states there are, and what is wrong in the first that is."""
-    first = State()
-    seen, todo = {first}, deque([first])
-    while todo:
-        state = todo.popleft()
-        for after in steps(state, guards):
-            if after in seen:
-                continue
-            if after.runs and after.told is not None and after.now >= after.told + CANCEL:
-                return len(seen), "a task of a job that was called cancelled is still there"
-            seen.add(after)
-            # What no longer runs, or is to be stopped with the next answer, cannot go wrong any more; nor
-            # what would be told too late for this model's end.
-            in_time = (after.now if after.told is None else after.told) + CANCEL <= END
-            if after.runs and not after.knows and in_time:
-                todo.append(after)
-    return len(seen), ""
+    """How many states there are, and the first that is wrong."""
+    return walk(State(), lambda s: steps(s, guards), wrong, further)
 
 
 def test_no_order_of_events_keeps_a_task_alive_for_longer_than_its_user_may_see_it():
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections import deque
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -17,6 +19,28 @@
 TYPES = {"small": SMALL, "big": BIG}
 
 
+S = TypeVar("S")
+
+
+def walk(
+    first: S, steps: Callable[[S], list[S]], wrong: Callable[[S], str],
+    further: Callable[[S], bool] = lambda s: True,
+) -> tuple[int, str]:  # fmt: skip
+    """All states that can be reached, of those that can still go wrong (``further``): how many there are, and
+    what is wrong in the first that is."""
+    seen, todo = {first}, deque([first])
+    while todo:
+        for after in steps(todo.popleft()):
+            if after in seen:
+                continue
+            if found := wrong(after):
+                return len(seen), found
+            seen.add(after)
+            if further(after):
+                todo.append(after)
+    return len(seen), ""
+
+
 def spec(ref: str = "req-1", **changes: Any) -> Spec:
     """A job with the given differences from a plain array of two tasks."""
     values: dict[str, Any] = dict(
