--- a/pearstep/core/reach.py
+++ b/pearstep/core/reach.py
@@ -141,6 +141,13 @@
             self._left_us = now_us
         return self.state
 
+    def see(self, now_us: int) -> None:
+        """Time alone has passed: whether what is known is too old by now. What the peers said is not looked
+        at: it counts right after they were asked. Seen (own day ``gap-wide``): their word of half a second
+        before an outage for all cost a holder its parts at the outage's beginning."""
+        if self.state == WHOLE and self.knowledge is not None and self.knowledge.too_old(now_us):
+            STANDING.move(self, BLIND)
+
     def _agreed(self, neighbour: str, now_us: int) -> bool:
         since, last = self.word.get(neighbour, (0, -(1 << 60)))
         return now_us - last <= WORD_US and last - since >= self.agreed_us
--- a/pearstep/node/holding.py
+++ b/pearstep/node/holding.py
@@ -80,7 +80,7 @@
             self._settling = True
             asyncio.ensure_future(self._settle())
         elif self.reach.state != WOKEN:
-            self.watch.update()
+            self.watch.see()
         return self.reach.may_judge()
 
     async def _settle(self) -> None:
--- a/pearstep/node/watch.py
+++ b/pearstep/node/watch.py
@@ -137,9 +137,17 @@
             self.update()
 
     def update(self) -> None:
-        """Follow the evidence, also that of time alone: nothing may be answered with knowledge too old."""
-        now = self.now_us()
-        state = self.reach.update(now)
+        """Follow the evidence, the peers having been asked."""
+        self.reach.update(self.now_us())
+        self._follow()
+
+    def see(self) -> None:
+        """Nothing may be answered with knowledge that is too old."""
+        self.reach.see(self.now_us())
+        self._follow()
+
+    def _follow(self) -> None:
+        now, state = self.now_us(), self.reach.state
         if state != self._shown:
             log.info("%s %s", state, ", ".join(self.reach.lacks))
             self._shown = state
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -85,6 +85,23 @@
     assert r.state == WHOLE
 
 
+def test_old_word_of_the_peers_counts_for_nothing_between_two_looks():
+    # Seen (gap-wide): the word of half a second before an outage for all, looked at with each report.
+    k = Knowledge(24 * US, ["a"], 0)
+    r = Reach({STATE: 6 * US}, 12 * US, knowledge=k)
+    r.note(STATE, False, US)
+    r.heard(STATE, True, 3 * US)
+    r.heard(STATE, True, 6 * US)
+    r.see(7 * US)
+    assert r.state == WHOLE
+    r.heard(STATE, False, 7 * US)
+    assert r.update(7 * US) == WHOLE
+    r.see(25 * US)
+    assert r.state == BLIND and not r.may_judge()
+    r.see(26 * US)
+    assert r.state == BLIND
+
+
 def test_question_to_a_peer_is_read_as_it_was_put_and_an_earlier_release_is_understood():
     for question in (Question(), Question(True, False, 7), Question(False, True, 0)):
         path, _, query = question.path.partition("?")
