--- a/pearstep/node/watch.py
+++ b/pearstep/node/watch.py
@@ -60,9 +60,9 @@
         self._tick_us = self._born_us = now_us()
         # Since when this node is blind, and when it last was.
         self._blind_us: int | None = None
+        self._seeing_us = -FINDING_US
         # The last state that was logged.
         self._shown = WHOLE
-        self._seeing_us = -FINDING_US
         self.unheard: dict[int, int] = {}
         mesh.status = self.status
         cloud.note = lambda ok: self.reach.note(CLOUD, ok, now_us())
