--- a/measurements/simulate.py
+++ b/measurements/simulate.py
@@ -18,7 +18,8 @@
 import click
 import msgspec
 
-from .rig.cluster import Result, Setup, run, setup_of, setup_of_meeting
+from .rig.built import Setup
+from .rig.cluster import Result, run, setup_of, setup_of_meeting
 from .rig.faults import KINDS
 from .rig.meetings import MEETINGS, pairs
 
--- a/pearstep/core/view.py
+++ b/pearstep/core/view.py
@@ -92,8 +92,8 @@
     def complete(self) -> bool:
         """Whether all is known that was committed before the latest end that is. A job that is over uses of
         its team's limit what the records place; a placement that was committed just before its end may be
-        missing here, and its task runs. Seen (rig, ``limits`` with slow answers): the leader cancelled a job
-        for its user, took the limit for free, and the team's next job started beside what still ran."""
+        missing here, and its task runs. Found by reading (``tests/test_cancelling.py``): a leader that hears
+        of the end first takes the limit for free, and plans the team's next job beside what still runs."""
         return self.revision >= self.ended
 
     def stamp(self, key: str) -> int:
--- a/pearstep/node/users.py
+++ b/pearstep/node/users.py
@@ -203,11 +203,12 @@
             never = never_runs(spec, self.teams, self.types)
             why = (422, never) if never else None
         if why is not None:
-            # Another node may have accepted the id: its repeat is never refused.
+            # Another node may have accepted the id: its repeat is never refused, also not by a node that has
+            # only just begun and knows nothing yet.
             job = await self._look(ref)
             if isinstance(job, Job | Ended):
                 return self._known(200, job)
-            if job is False and self.ready:
+            if job is False:
                 return self.away("state not known now")
             return why[0], wire.error_answer(why[1]), {}
         assert spec is not None
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -133,3 +133,18 @@
         assert (await ask("POST", wire.JOBS, {**JOB, "ref": "req-8"}))[0] == 201
 
     asyncio.run(scenario(steps))
+
+
+def test_node_that_has_only_begun_refuses_no_id_for_what_stands_beside_it():
+    # Another node may have accepted it, and a repeat of an accepted job never gets 400 or 422.
+    async def steps(ask, state, users):
+        wrong = {**JOB, "vcpus": 97.0}, {"ref": "req-000412"}, {**JOB, "parcels": 0}
+        users.ready = False
+        for body in (JOB, *wrong):
+            assert (await ask("POST", wire.JOBS, body))[0] == 503
+        users.ready = True
+        assert [(await ask("POST", wire.JOBS, body))[0] for body in wrong] == [422, 400, 400]
+        await ask("POST", wire.JOBS, JOB)
+        assert [(await ask("POST", wire.JOBS, body))[0] for body in wrong] == [200, 200, 200]
+
+    asyncio.run(scenario(steps))
