--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -69,6 +69,8 @@
         self._node = 0
         self._lease_from = 0.0
         self._loops: list[asyncio.Task[None]] = []
+        # The latest report, and the address that it was sent to.
+        self.last_sent: tuple[str, dict[str, Any]] = ("", {})
 
     async def boot(self) -> None:
         """Start the worker."""
@@ -78,6 +80,19 @@
         self._loops = [asyncio.create_task(self._report_loop()), asyncio.create_task(self._lease_loop())]
         self.region.log("machine up", machine=self.name, breed=self.breed, zone=self.plot, spot=self.spot)
 
+    def restart(self) -> None:
+        """End with all that is on it, and be back at once: a new worker, which counts from the start."""
+        for task in list(self.tasks.values()):
+            self._drop(task, "machine restarts")
+        for loop in self._loops:
+            loop.cancel()
+        self.tasks.clear()
+        self.images.clear()
+        self.tenure, self.tally, self.warrant = 1, 0, 0
+        self._lease_from = asyncio.get_running_loop().time()
+        self._loops = [asyncio.create_task(self._report_loop()), asyncio.create_task(self._lease_loop())]
+        self.region.log("machine is back", machine=self.name)
+
     async def end(self) -> None:
         """End the machine with all that is on it."""
         self.up = False
@@ -229,9 +244,8 @@
         while True:
             self._changed.clear()
             sent, tenure = loop.time(), self.tenure
-            status, answer, _ = await fetch(
-                self.region.nodes[names[self._node]], "POST", "/hello", self.report(), ANSWER_TIMEOUT_S
-            )
+            self.last_sent = (self.region.nodes[names[self._node]], self.report())
+            status, answer, _ = await fetch(*_hello(self.last_sent), timeout_s=ANSWER_TIMEOUT_S)
             if status == 200:
                 self._take_answer(answer or {}, sent, tenure)
             elif status == 421 and (answer or {}).get("steward") in names:
@@ -268,6 +282,18 @@
         self._obey(answer.get("orders") or [])
 
 
+def _hello(sent: tuple[str, dict[str, Any]]) -> tuple[str, str, str, dict[str, Any]]:
+    """Return the request that takes a report to a node."""
+    address, report = sent
+    return address, "POST", "/hello", report
+
+
+async def send_copy(sent: tuple[str, dict[str, Any]]) -> int:
+    """Let a copy of a report arrive where it was sent to; its answer reaches nobody."""
+    status, _, _ = await fetch(*_hello(sent), timeout_s=ANSWER_TIMEOUT_S)
+    return status
+
+
 class Cloud:
     """Rents, lists and deletes machines."""
 
--- a/review/standins/padron.py
+++ b/review/standins/padron.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from review.standins.rig import Deployment
 
 PADRON = Deployment(
@@ -34,3 +36,12 @@
         },
     ],
 )
+
+# The same as ``padron-abierto-mvd-fleet``, with fewer machines.
+PADRON_FLEET = replace(
+    PADRON,
+    workers={**PADRON.workers, "report_s": 5.0},
+    state={"rps": 300.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 16},
+    cloud={"rps": 6.0, "list_lag_s": 3.0},
+    resources={"cpu": 1.26, "ram_mb": 476.0, "fd_limit": 2473},
+)
