Review: a mistake in a case counts as not run

Cause: an unexpected exception ended a script with 1, as if the rule was broken.

Change: such an exception is recorded and the script ends with 2.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -392,6 +393,11 @@
             except TimeoutError:
                 record("case could not run", why="time is over")
                 return NOT_RUN
+            except Exception as err:
+                # A mistake in a case or a stand-in says nothing about the rule.
+                record("case could not run", why=repr(err))
+                traceback.print_exc()
+                return NOT_RUN
             finally:
                 await rig.stop()
                 if os.environ.get("KEEP_LOGS"):
