--- a/review/3/test.py
+++ b/review/3/test.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
 from review.standins.cloud import Machine, Task
-from review.standins.padron import PADRON
+from review.standins.padron import PADRON_FLEET
 from review.standins.rig import CaseError, Node, Proxy, Rig, job, run_case, trouble
 
 JOBS = 6
@@ -74,8 +74,8 @@
         rig.cloud.skip_names(lambda name: zlib.crc32(name.encode()) % len(rig.nodes) != CUT)
         machine = await rig.cloud.add("chacra", "sala-prado", False)
         machine.images.add("img-1")
-        await asyncio.sleep(PADRON.workers["report_s"] / JOBS)
-    await asyncio.sleep(4)
+        await asyncio.sleep(PADRON_FLEET.workers["report_s"] / JOBS)
+    await asyncio.sleep(6)
     refs = [f"req-{number:06d}" for number in range(1, JOBS + 1)]
     await asyncio.gather(*(rig.submit(job(ref, **FIELDS, reckonS=8.0), 8.0, node) for ref in refs))
     await asyncio.sleep(0.3)
@@ -110,4 +110,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, PADRON, play, lay)
+    run_case(__file__, PADRON_FLEET, play, lay)
