End the permission to start tasks before a missed cancellation is confirmed

Cause: a controller that is cut off from the state service and its peers went on starting tasks until one of its requests failed (up to 4.5 s), while a user whose cancellation it had not acknowledged was told after 0.3 s. The answer to a placement's commit could come late in the same way.

Change: starts are sent only within 1.5 s of the sending of the latest completed read, or of the commit that placed the task (`StartPermission`); a heartbeat with a start to send waits for a read if the latest is older. A cancellation that a peer does not acknowledge is told after 1.7 s instead of 0.3 s. What a controller has missed was committed after its latest read was sent, so its permission ends before the user is told, whether it notices the cut or not. The simulation judges start commands in delayed answers too, and has a fault `cancel_waiting`.

--- a/measurements/simulation/net.py
+++ b/measurements/simulation/net.py
@@ -184,16 +184,14 @@
     ) -> None:
         found = endpoint.handler(Request(method, path, body))
         if isinstance(found, tuple):
-            if answer is not None:
-                if path == HEARTBEAT_PATH and found[0] == 200:
-                    self._commands(found[1])
-                self._reply(dst, src, answer, found[:2])
+            self._leave(found, path, src, dst, answer)
             return
-        asyncio.ensure_future(self._serve(found, src, dst, answer))
+        asyncio.ensure_future(self._serve(found, path, src, dst, answer))
 
     async def _serve(
         self,
         coming: Awaitable[Answer],
+        path: str,
         src: str,
         dst: str,
         answer: asyncio.Future[tuple[int, bytes]] | None,
@@ -202,8 +200,22 @@
             found = await coming
         except Exception:
             found = (500, b"", {})
-        if answer is not None:
-            self._reply(dst, src, answer, found[:2])
+        self._leave(found, path, src, dst, answer)
+
+    def _leave(
+        self,
+        found: Answer,
+        path: str,
+        src: str,
+        dst: str,
+        answer: asyncio.Future[tuple[int, bytes]] | None,
+    ) -> None:
+        """An answer leaves the node, unless nobody waits for it."""
+        if answer is None:
+            return
+        if path == HEARTBEAT_PATH and found[0] == 200:
+            self._commands(found[1])
+        self._reply(dst, src, answer, found[:2])
 
     def _reply(
         self, src: str, dst: str, answer: asyncio.Future[tuple[int, bytes]], found: tuple[int, bytes]
--- a/measurements/simulation/troubles.py
+++ b/measurements/simulation/troubles.py
@@ -251,6 +251,16 @@
                 seen.wish_s = self.loop.time()
                 self.users.start(self.jobs[ref].cancel(addr=addr))
 
+    def _cancel_waiting(self, fault: Fault) -> None:
+        """Users of accepted jobs of which no task is on a machine cancel them, at one node."""
+        addr = self._node(fault).addr
+        running = {task.partition("/")[0] for task in self.checker.where}
+        for ref, seen in sorted(self.checker.jobs.items()):
+            waits = seen.accepted_s is not None and seen.begun_s is None and ref not in running
+            if waits and seen.wish_s is None and ref in self.jobs:
+                seen.wish_s = self.loop.time()
+                self.users.start(self.jobs[ref].cancel(addr=addr))
+
     def _node_crash(self, fault: Fault) -> None:
         node = self._node(fault)
         node.crash(fault.back_s)
--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -6,15 +6,17 @@
 import logging
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from tornado.httputil import HTTPServerRequest
 
+from pearstep.controller.start_permission import unrestricted_start_permission
 from pearstep.domain.units import SECOND_US
+from pearstep.failure_detection.staleness import NEVER_US
 from pearstep.failure_detection.timeouts import AGENT_FAILOVER_US
 from pearstep.protocol import controller_messages as wire
-from pearstep.shard.commands import Command, Heartbeat, ShardActions, TaskStatus
+from pearstep.shard.commands import Command, CommandAction, Heartbeat, ShardActions, TaskStatus
 from pearstep.shard.machine import Machine
 from pearstep.shard.owner import ShardOwner
 from pearstep.state.records import ShardLayoutRecord
@@ -78,6 +80,10 @@
     return 421, wire.encode_redirect(node), {}
 
 
+def _without_starts(commands: list[Command]) -> list[Command]:
+    return [command for command in commands if command.action != CommandAction.START]
+
+
 class AgentGateway:
     """Passes heartbeats to the owner of the machine's shard, and the owner's commands to the machine."""
 
@@ -124,6 +130,8 @@
         self.may_act: Callable[[], bool] = lambda: True
         # Whether the state service is unavailable to this node, which may then have missed a failover.
         self.kv_unavailable: Callable[[], bool] = lambda: False
+        # Whether start commands may be sent; the controller replaces it if there are other controllers.
+        self.start_permission = unrestricted_start_permission()
         # Machines that sent heartbeats here although another node owns their shard. They show an owner that
         # it has lost contact with its agents, rather than the agents with all nodes.
         self.misdirected: dict[str, MisdirectedHeartbeat] = {}
@@ -131,8 +139,8 @@
 
     # -- heartbeats ------------------------------------------------------------------------------
 
-    def handle_heartbeat(self, request: HTTPServerRequest) -> Answer:
-        """Answer an agent's heartbeat."""
+    def handle_heartbeat(self, request: HTTPServerRequest) -> Answer | Awaitable[Answer]:
+        """Answer an agent's heartbeat; the answer is awaitable if it must wait for a read."""
         if request.method != "POST":
             return 405, wire.encode_error("method not allowed"), {"Allow": "POST"}
         try:
@@ -179,18 +187,37 @@
         )
         del self.owners[shard_id]
 
-    def _answer_owned(self, message: wire.HeartbeatMessage, owner: ShardOwner) -> Answer:
+    def _answer_owned(self, message: wire.HeartbeatMessage, owner: ShardOwner) -> Answer | Awaitable[Answer]:
         """Answer a heartbeat of a machine whose shard this node owns, with the machine's commands."""
-        now = self.now_us()
-        machine = owner.on_heartbeat(to_heartbeat(message), now, self.wall_us())
+        machine = owner.on_heartbeat(to_heartbeat(message), self.now_us(), self.wall_us())
         if machine is None:
             return _unavailable("machine not usable")
         if log.is_enabled_for(logging.DEBUG):
             self._log_tasks(message, machine)
-        # While the state service is unavailable to this node, other nodes may confirm cancellations to users,
-        # and no task of a cancelled job may start. So no start commands are sent.
-        commands = owner.commands_for(machine, starts=not self.kv_unavailable())[:MAX_COMMANDS_PER_MESSAGE]
-        owner.on_heartbeat_answered(machine, now)
+        if self._must_read_before_starts(owner, machine):
+            return self._answer_after_read(owner, machine)
+        return self._answer_with_commands(owner, machine)
+
+    def _must_read_before_starts(self, owner: ShardOwner, machine: Machine) -> bool:
+        """Tell whether there are tasks to start, but cancellations have to be read first."""
+        if self.kv_unavailable() or self.start_permission.is_granted():
+            return False
+        return any(command.action == CommandAction.START for command in owner.commands_for(machine))
+
+    async def _answer_after_read(self, owner: ShardOwner, machine: Machine) -> Answer:
+        """Answer a heartbeat after a read that may permit starts."""
+        await self.start_permission.renew()
+        is_current = self.owners.get(owner.shard_id) is owner and owner.machines.get(machine.name) is machine
+        if not is_current or not self.may_act():
+            return _unavailable("not certain what is owned here")
+        return self._answer_with_commands(owner, machine)
+
+    def _answer_with_commands(self, owner: ShardOwner, machine: Machine) -> Answer:
+        # Other nodes may confirm cancellations that this node has not read, and no task of a cancelled job
+        # may start. So without the permission no start commands are sent.
+        starts = not self.kv_unavailable() and self.start_permission.is_granted()
+        commands = owner.commands_for(machine, starts=starts)[:MAX_COMMANDS_PER_MESSAGE]
+        owner.on_heartbeat_answered(machine, self.now_us())
         if owner.pass_due or owner.pending_writes:
             self.request_pass()
         return 200, wire.encode_commands(owner.fencing_token, commands), {}
@@ -312,11 +339,23 @@
 
     # -- commands --------------------------------------------------------------------------------
 
-    def send_commands(self, owner: ShardOwner, actions: ShardActions) -> None:
-        """Send direct commands to machines, with one request for each machine."""
-        for name, commands in actions.commands.items():
+    def send_commands(
+        self, owner: ShardOwner, actions: ShardActions, confirmed_at_us: int = NEVER_US
+    ) -> None:
+        """Send direct commands to machines, with one request for each machine.
+
+        Start commands that are not permitted now are left out; they go with the next heartbeat answers.
+
+        Args:
+            owner: The owner that requests the commands.
+            actions: The commands.
+            confirmed_at_us: See ``StartPermission.is_granted``.
+        """
+        starts = self.start_permission.is_granted(confirmed_at_us)
+        for name, requested in actions.commands.items():
             machine = owner.machines.get(name)
-            if machine is not None:
+            commands = requested if starts else _without_starts(requested)
+            if machine is not None and (commands or not requested):
                 self._tasks.start(self._send(owner, machine, commands[:MAX_COMMANDS_PER_MESSAGE]))
 
     async def _send(self, owner: ShardOwner, machine: Machine, commands: list[Command]) -> None:
--- a/pearstep/controller/controller.py
+++ b/pearstep/controller/controller.py
@@ -24,6 +24,7 @@
 from pearstep.controller.replica_follower import ReplicaFollower
 from pearstep.controller.settings import Settings, address, owner_config
 from pearstep.controller.shard_loop import ShardLoop
+from pearstep.controller.start_permission import StartPermission
 from pearstep.domain.machine_type import MachineType
 from pearstep.protocol import controller_messages as wire
 from pearstep.shard.owner import ShardOwner
@@ -95,7 +96,10 @@
         self.health = self._build_health_monitor()
         self.leases = self._build_lease_manager()
         self.agents.may_act = self.leases.may_act
-        self.agents.kv_unavailable = lambda: self.kv.unavailable_since_us is not None
+        self.agents.kv_unavailable = self._kv_unavailable
+        self.agents.start_permission = StartPermission(
+            self.health.staleness_bound, self.follower.read_barrier, self._kv_unavailable, now_us
+        )
         self.shard_loop = self._build_shard_loop()
         self.leader_loop = self._build_leader_loop()
         if extension is not None:
@@ -216,6 +220,9 @@
             self.follower.read_barrier,
         )
 
+    def _kv_unavailable(self) -> bool:
+        return self.kv.unavailable_since_us is not None
+
     # -- serving ---------------------------------------------------------------------------------
 
     def handle(self, request: HTTPServerRequest) -> Answer | Awaitable[Answer]:
--- a/pearstep/controller/shard_loop.py
+++ b/pearstep/controller/shard_loop.py
@@ -178,11 +178,12 @@
         self._log_unwritable_keys(owner)
         if batch is None:
             return False
+        sent_at_us = now_us()
         result = await self.kv.commit(
             {**batch.preconditions, **fence.preconditions()}, batch.puts, batch.deletes
         )
         if result.state == CommitOutcome.COMMITTED:
-            self._on_committed(owner, batch, result)
+            self._on_committed(owner, batch, result, sent_at_us)
         elif result.state == CommitOutcome.MALFORMED:
             owner.on_malformed(batch, now_us(), wall_us())
             self._log_unwritable_keys(owner)
@@ -194,8 +195,10 @@
             return await self._on_not_applied(owner, fence, batch, result)
         return True
 
-    def _on_committed(self, owner: ShardOwner, batch: GroupCommit, result: CommitResult) -> None:
-        """Apply a commit to the replica, and send the commands that it allows."""
+    def _on_committed(
+        self, owner: ShardOwner, batch: GroupCommit, result: CommitResult, sent_at_us: int
+    ) -> None:
+        """Apply a commit that was sent at a time to the replica, and send the commands that it allows."""
         actions = ShardActions()
         owner.on_committed(batch, result.revision, actions)
         for attempt in batch.placed_attempts:
@@ -215,7 +218,8 @@
         # The answer may have been delayed by a process pause during which jobs were cancelled. In that case
         # nothing is sent now; the start commands go out with the next heartbeat answers.
         if self._is_owned(owner) and self._may_act():
-            self._perform(owner, actions)
+            # The versions of the jobs were conditions of the commit, so none was cancelled when it was sent.
+            self.agents.send_commands(owner, actions, confirmed_at_us=sent_at_us)
 
     async def _on_not_applied(
         self, owner: ShardOwner, fence: WriteFence, batch: GroupCommit, result: CommitResult
--- a/pearstep/failure_detection/staleness.py
+++ b/pearstep/failure_detection/staleness.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from pearstep.failure_detection.timeouts import CLOCK_DRIFT_DIVISOR
+from pearstep.failure_detection.timeouts import CLOCK_DRIFT_DIVISOR, MAX_START_STALENESS_US
 
 # Earlier than any time of a monotonic clock.
 NEVER_US = -(1 << 60)
@@ -72,6 +72,20 @@
                 return
         self.last_peer_answer_us[peer] = max(self.last_peer_answer_us[peer], sent_us)
 
+    def allows_starts(self, now_us: int, confirmed_at_us: int = NEVER_US) -> bool:
+        """Tell whether tasks may be started, because every confirmed cancellation is applied here.
+
+        A cancellation that this node has missed was committed after its latest read was sent, and is
+        confirmed ``CANCELLATION_BROADCAST_US`` after that or later. Answers of peers do not count: what they
+        list is applied only to jobs that are in this replica already.
+
+        Args:
+            now_us: The current time.
+            confirmed_at_us: A time at which the jobs to start were certainly not cancelled.
+        """
+        known_through_us = max(self.last_read_us, confirmed_at_us)
+        return not self.last_peer_answer_us or now_us - known_through_us <= MAX_START_STALENESS_US
+
     def all_complete_through_us(self) -> int:
         """Return the time up to which all confirmations by any controller are applied here."""
         return max(self.last_read_us, min(self.last_peer_answer_us.values(), default=NEVER_US))
--- a/pearstep/failure_detection/timeouts.py
+++ b/pearstep/failure_detection/timeouts.py
@@ -46,8 +46,14 @@
 LEASE_EXPIRY_KILL_US = SECOND_US
 # The smallest bound on staleness; it leaves time for four slowly answered reads.
 MIN_STALENESS_US = 4 * SECOND_US
-# How long a peer may take to acknowledge a cancellation before the user gets the answer.
-CANCELLATION_BROADCAST_US = 300_000
+# How old a controller's latest completed read may be when it sends start commands. Shorter than a read of the
+# state service may take (``READ_TIMEOUT_S``), nothing could start while it answers slowly.
+MAX_START_STALENESS_US = 1_500_000
+# How long a permitted start command may take to leave its controller, with clock drift.
+START_COMMAND_MARGIN_US = 200_000
+# How long a peer may take to acknowledge a cancellation before the user gets the answer. A controller that
+# has missed the cancellation may start nothing any more by then.
+CANCELLATION_BROADCAST_US = MAX_START_STALENESS_US + START_COMMAND_MARGIN_US
 # The longest wait of a watch request if nothing changes.
 MAX_WATCH_TIMEOUT_US = 10 * SECOND_US
 
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -156,6 +156,40 @@
     assert any("is sent, told" in text for text in broken)
 
 
+def isolated_owner_setup(seed):
+    """Jobs that wait for a start are cancelled through the other nodes while their owner is isolated."""
+    isolated_s = (20.0, 45.0, 70.0)
+    faults = [Fault("small_jobs", 16.0, 60.0)]
+    faults += [Fault("node_isolated", at_s, 12.0, who=[n]) for n, at_s in enumerate(isolated_s)]
+    faults += [
+        Fault("cancel_waiting", at_s + delay_s, who=[n + 1])
+        for n, at_s in enumerate(isolated_s)
+        for delay_s in (0.05, 0.4, 1.2)
+    ]
+    return Setup(
+        seed,
+        3,
+        1,
+        9,
+        36.0,
+        5.0,
+        load=0.05,
+        run_s=(3.0, 9.0),
+        calm_s=90.0,
+        until_s=150.0,
+        faults=faults,
+        kinds=(5, 3, 0),
+        history=False,
+    )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_isolated_owner_starts_no_task_of_a_job_whose_cancellation_was_confirmed(seed):
+    # Seen: a controller cut off from the state service and its peers sent starts up to 3.4 s after the cut.
+    result, trace = run(isolated_owner_setup(seed), log=True)
+    assert result.broken == [] and sum("told that req" in line for line in trace) > 10
+
+
 # -- a cancellation that is read before older records ----------------------------------------------
 
 
