Judge direct start commands when their connection is open

A direct start was encoded when its placement was committed; it then waited in the HTTP client for other requests (without a bound) and up to 2 s for its connection, and was sent although its job might have been confirmed as cancelled meanwhile.

Change: the body of a request may be a function, called once the connection is open; starts that are not permitted any more are left out then, and count as answered, since they can't arrive later. The simulation's network does the same.

--- a/measurements/simulation/net.py
+++ b/measurements/simulation/net.py
@@ -16,7 +16,7 @@
 
 from measurements.simulation.clock import DEAD, Life, VirtualLoop
 from pearstep.protocol.controller_messages import COMMANDS_PATH, HEARTBEAT_PATH
-from pearstep.transport.http import NO_ANSWER, Answer, Handler
+from pearstep.transport.http import NO_ANSWER, Answer, Handler, RequestBody
 
 CONNECT_S = 2.0
 LOOK_S = 0.05
@@ -117,7 +117,7 @@
         addr: str,
         method: str,
         path: str,
-        body: bytes | None,
+        body: RequestBody | None,
         timeout_s: float,
         kept: bool = False,
     ) -> tuple[int, bytes]:
@@ -133,9 +133,10 @@
                         while there in self.cuts or back in self.cuts or dst in self.deaf:
                             await asyncio.sleep(LOOK_S)
                     await asyncio.sleep(self._latency_s())
+                content = (body() if callable(body) else body) or b""
                 if path == COMMANDS_PATH:
-                    self._commands(body or b"")
-                self._send(there, lambda: self._arrive(src, addr, method, path, body or b"", answer))
+                    self._commands(content)
+                self._send(there, lambda: self._arrive(src, addr, method, path, content, answer))
                 found = await answer
                 self.broken.discard(there)
                 return found
@@ -237,7 +238,7 @@
         self._room = asyncio.Semaphore(most)
 
     async def fetch(
-        self, addr: str, method: str, path: str, body: bytes | None = None, timeout_s: float = 4.0
+        self, addr: str, method: str, path: str, body: RequestBody | None = None, timeout_s: float = 4.0
     ) -> tuple[int, bytes]:
         """Status and body."""
         try:
--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -351,24 +351,44 @@
             actions: The commands.
             confirmed_at_us: See ``StartPermission.is_granted``.
         """
-        starts = self.start_permission.is_granted(confirmed_at_us)
         for name, requested in actions.commands.items():
             machine = owner.machines.get(name)
-            commands = requested if starts else _without_starts(requested)
+            commands = self._permitted(owner, requested, confirmed_at_us)
             if machine is not None and (commands or not requested):
-                self._tasks.start(self._send(owner, machine, commands[:MAX_COMMANDS_PER_MESSAGE]))
-
-    async def _send(self, owner: ShardOwner, machine: Machine, commands: list[Command]) -> None:
+                self._tasks.start(
+                    self._send(owner, machine, commands[:MAX_COMMANDS_PER_MESSAGE], confirmed_at_us)
+                )
+
+    def _permitted(self, owner: ShardOwner, commands: list[Command], confirmed_at_us: int) -> list[Command]:
+        """Return the commands without starts that may not be sent now."""
+        if not self.start_permission.is_granted(confirmed_at_us):
+            return _without_starts(commands)
+        return [
+            command
+            for command in commands
+            if command.action != CommandAction.START or owner.allows_start(command.task)
+        ]
+
+    async def _send(
+        self, owner: ShardOwner, machine: Machine, commands: list[Command], confirmed_at_us: int
+    ) -> None:
         """Send commands to one machine, whose answer has the form of a heartbeat."""
         owner.on_commands_sent(machine, commands, self.now_us())
         incarnation = machine.incarnation
+        permitted = commands
+
+        def encode() -> bytes:
+            """Encode the commands that are permitted now that the connection is open."""
+            nonlocal permitted
+            permitted = self._permitted(owner, commands, confirmed_at_us)
+            return wire.encode_commands(owner.fencing_token, permitted, incarnation)
+
         status, body = await self.client.fetch(
-            machine.address,
-            "POST",
-            wire.COMMANDS_PATH,
-            wire.encode_commands(owner.fencing_token, commands, incarnation),
-            COMMAND_TIMEOUT_S,
+            machine.address, "POST", wire.COMMANDS_PATH, encode, COMMAND_TIMEOUT_S
         )
+        if machine.incarnation == incarnation:
+            withheld = [command for command in commands if command not in permitted]
+            owner.on_commands_answered(machine, withheld)
         # 409: the machine has another incarnation than the commands name, or has a later fencing token.
         if status not in (200, 409):
             return
--- a/pearstep/shard/owner.py
+++ b/pearstep/shard/owner.py
@@ -13,7 +13,14 @@
 from pearstep.domain.machine_type import MachineType
 from pearstep.domain.units import SECOND_US
 from pearstep.shard.attempt_completion import AttemptCompletion
-from pearstep.shard.commands import Command, Heartbeat, ShardActions, ShardOwnerConfig, UnwritableKey
+from pearstep.shard.commands import (
+    Command,
+    Heartbeat,
+    ShardActions,
+    ShardOwnerConfig,
+    UnwritableKey,
+    parse_task_name,
+)
 from pearstep.shard.group_commit import GroupCommitter
 from pearstep.shard.heartbeats import HeartbeatHandler
 from pearstep.shard.machine import Machine
@@ -116,6 +123,10 @@
         """Return the commands for the answer to a heartbeat; ``starts``: whether tasks may start."""
         return self.heartbeats.commands_for(machine, starts)
 
+    def allows_start(self, task: str) -> bool:
+        """Return whether a task may be started: its job is not cancelled."""
+        return not self.state.is_cancelled(parse_task_name(task)[0])
+
     def on_commands_sent(self, machine: Machine, commands: list[Command], now_us: int) -> None:
         """Note that direct commands were sent."""
         self.heartbeats.on_commands_sent(machine, commands, now_us)
--- a/pearstep/transport/http.py
+++ b/pearstep/transport/http.py
@@ -38,6 +38,8 @@
 # Connections that wait to be accepted: all agents of a fleet may connect at once. The operating system
 # applies its own limit as well (on Linux ``net.core.somaxconn``).
 BACKLOG = 8192
+# The body of a request, or a function that is called for it once the connection is open.
+RequestBody = bytes | Callable[[], bytes]
 # Status, body, headers.
 Answer = tuple[int, bytes, dict[str, str]]
 # A handler returns its answer if it need not wait for anything, and an awaitable otherwise.
@@ -96,9 +98,13 @@
         self._params = HTTP1ConnectionParameters(max_body_size=MAX_RESPONSE_BYTES)
 
     async def fetch(
-        self, addr: str, method: str, path: str, body: bytes | None = None, timeout_s: float = 4.0
+        self, addr: str, method: str, path: str, body: RequestBody | None = None, timeout_s: float = 4.0
     ) -> tuple[int, bytes]:
-        """Send a request; return status and body, or NO_ANSWER and no body after any failure."""
+        """Send a request; return status and body, or NO_ANSWER and no body after any failure.
+
+        A request may wait for other requests to end, and for its connection. A body that depends on what is
+        true when the request is sent is given as a function.
+        """
         if method == "POST" and body is None:
             body = b""
         stream: IOStream | None = None
@@ -110,7 +116,8 @@
                 if stream is None or stream.closed():
                     async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                         stream = await self._open(addr)
-                response, reusable = await self._send_request(stream, addr, method, path, body)
+                content = body() if callable(body) else body
+                response, reusable = await self._send_request(stream, addr, method, path, content)
                 if idle is not None and reusable and len(idle) < MAX_IDLE_CONNECTIONS:
                     idle.append(stream)
                     stream = None
--- a/tests/test_start_permission.py
+++ b/tests/test_start_permission.py
@@ -14,7 +14,7 @@
 from pearstep.controller.start_permission import StartPermission
 from pearstep.domain.job_state import JobState
 from pearstep.domain.units import SECOND_US
-from pearstep.failure_detection.staleness import StalenessBound
+from pearstep.failure_detection.staleness import NEVER_US, StalenessBound
 from pearstep.failure_detection.timeouts import (
     AGENT_ANSWER_TIMEOUT_US,
     CANCELLATION_BROADCAST_US,
@@ -30,13 +30,17 @@
 
 
 class RecordingAgent:
-    """An HTTP client that keeps the direct commands it is given, and answers none of them."""
+    """An HTTP client that keeps the direct commands it sends, and gets no answer to any of them."""
 
     def __init__(self):
         self.sent = []
+        # Called when the connection is open, before the request is sent.
+        self.on_connected = lambda: None
 
     async def fetch(self, addr, method, path, body=None, timeout_s=4.0):
-        self.sent += [order["verb"] for order in msgspec.json.decode(body)["orders"]]
+        self.on_connected()
+        content = body() if callable(body) else body
+        self.sent += [order["verb"] for order in msgspec.json.decode(content)["orders"]]
         return 0, b""
 
 
@@ -98,6 +102,23 @@
         status, body, _ = asyncio.run(answer())
         return status, [order["verb"] for order in msgspec.json.decode(body).get("orders", ())]
 
+    def send(self, actions, confirmed_at_us=NEVER_US):
+        """Send the commands of some actions to the agents."""
+
+        async def send():
+            self.gateway.send_commands(self.world.owner, actions, confirmed_at_us)
+            await asyncio.sleep(0)
+
+        asyncio.run(send())
+
+    def place_another(self):
+        """Place a task of a second job at a time at which the latest read is old; return its start."""
+        self.world.submit(spec("req-2", tasks=1))
+        self.world.advance_clock(STALE_S)
+        actions = self.world.run_and_commit()
+        assert self.world.starts(actions)
+        return actions
+
     def cancel_elsewhere(self):
         """Cancel the job through the other controller, which is not reached by this one."""
         cancelled = JobRecord(spec(tasks=1), self.now(), JobState.CANCELLED, self.now())
@@ -163,19 +184,31 @@
 def test_direct_start_needs_a_commit_that_was_sent_recently(answer_took_s, verbs):
     # The answer to the placement's commit may come after the cancellation was confirmed.
     owner = OwnerWithPeer()
-    owner.world.submit(spec("req-2", tasks=1))
-    owner.world.advance_clock(STALE_S)
+    actions = owner.place_another()
     sent_at_us = owner.now()
-    actions = owner.world.run_and_commit()
-    assert owner.world.starts(actions)
     owner.world.advance_clock(answer_took_s)
+    owner.send(actions, sent_at_us)
+    assert owner.agent.sent == verbs
 
-    async def send():
-        owner.gateway.send_commands(owner.world.owner, actions, sent_at_us)
-        await asyncio.sleep(0)
 
-    asyncio.run(send())
-    assert owner.agent.sent == verbs
+@pytest.mark.parametrize("trouble", ["cancelled", "cut off", "none"])
+def test_direct_start_that_waited_for_its_connection_is_judged_when_it_is_sent(trouble):
+    # A request waits for others to end and for its connection; users may be told of a cancellation meanwhile.
+    owner = OwnerWithPeer()
+    actions = owner.place_another()
+
+    def wait_for_the_connection():
+        if trouble == "cancelled":
+            owner.world.put("j/req-2", JobRecord(spec("req-2", tasks=1), 0, JobState.CANCELLED, 0))
+        elif trouble == "cut off":
+            owner.world.advance_clock(STALE_S)
+
+    owner.agent.on_connected = wait_for_the_connection
+    owner.send(actions, owner.now())
+    assert owner.agent.sent == (["run"] if trouble == "none" else [])
+    # A start that was not sent cannot arrive later, so nothing has to wait for it.
+    unanswered = owner.world.owner.machines[MACHINE].unanswered_starts
+    assert (("req-2/0", 1) in unanswered) == (trouble == "none")
 
 
 def test_commands_other_than_starts_are_sent_without_a_permission():
@@ -184,12 +217,7 @@
     owner.world.advance_clock(STALE_S)
     actions = owner.world.run_pass()
     owner.world.owner.stop(next(iter(machine.attempts.values())), 0, owner.now(), actions)
-
-    async def send():
-        owner.gateway.send_commands(owner.world.owner, actions)
-        await asyncio.sleep(0)
-
-    asyncio.run(send())
+    owner.send(actions)
     assert "halt" in owner.agent.sent and "run" not in owner.agent.sent
 
 
