Acknowledge a cancellation of a job that is not read yet only after a read

Cause: found by reading, looking for starts that follow a confirmed cancellation. A controller whose replica lacked the job acknowledged the cancellation and kept nothing of it. If it took over the job's shard by records older than the cancellation, it could start the job's placed tasks after the user was told.

Change: such a controller reads first (`CancellationExchange.acknowledge`), and answers 503 if it can't; the user is then told after the delay, by which its permission to start has ended.

Result: `test_cancellation_of_a_job_that_is_not_read_yet_is_acknowledged_only_after_a_read` fails in both cases if the acknowledgement does not wait for the read, as before, and passes now; tests of cancelling, golden peers, knowledge, later meetings and the simulation's rig pass.

--- a/pearstep/controller/cancellation_exchange.py
+++ b/pearstep/controller/cancellation_exchange.py
@@ -65,13 +65,26 @@
                 return
             page = await self._peers.query(peer.node, PeerQuery(count_misdirected=False, after=after))
 
-    def apply(self, cancelled: Sequence[CancelledJob]) -> None:
-        """Apply cancellations that a peer has committed.
+    async def acknowledge(self, cancelled: Sequence[CancelledJob]) -> bool:
+        """Apply cancellations that a peer has committed, and return whether the peer may rely on that.
 
-        Jobs that are not in the replica are skipped: this node has never placed a task of them.
+        A job that is not in the replica may be in records that are read later: another node has placed its
+        tasks, and this node takes over their shard. So the peer may rely on it only after a read.
         """
+        if self.apply(cancelled):
+            return True
+        return self._follower.loaded and await self._follower.read_barrier()
+
+    def apply(self, cancelled: Sequence[CancelledJob]) -> bool:
+        """Apply cancellations that a peer has committed; return whether all jobs are in the replica.
+
+        Jobs that are not in the replica are skipped.
+        """
+        all_found = True
         for job_id, version, ended_at_us in cancelled:
             job = self._replica.jobs.get(job_id)
+            all_found &= job is not None
             if job is not None and not job.is_final:
                 record = JobRecord(job.spec, job.submitted_at_us, JobState.CANCELLED, ended_at_us)
                 self._follower.apply_own_commit(f"j/{job_id}", version, record)
+        return all_found
--- a/pearstep/controller/health_monitor.py
+++ b/pearstep/controller/health_monitor.py
@@ -84,7 +84,7 @@
         self._logged_state = NodeHealth.HEALTHY
         self.follower.on_read_completed = self.staleness_bound.read_completed
         self.peers.answer_query = self.status
-        self.peers.apply_cancellations = self.cancellations.apply
+        self.peers.acknowledge_cancellations = self.cancellations.acknowledge
         self.cloud.on_contact = lambda ok: self.reachability.record_contact(Neighbour.CLOUD, ok, now_us())
 
     async def status(self, query: PeerQuery) -> PeerStatus:
--- a/pearstep/controller/peers.py
+++ b/pearstep/controller/peers.py
@@ -113,14 +113,15 @@
         """
         self.client = client
         self.peers = peers
-        # Both are set once this node can answer; until then peers get a 503.
+        # This and the next are set once this node can answer; until then peers get a 503.
         self.answer_query: Callable[[PeerQuery], Awaitable[PeerStatus]] | None = None
-        self.apply_cancellations: Callable[[list[CancelledJob]], None] | None = None
+        # Applies cancellations, and returns whether the sender may rely on that.
+        self.acknowledge_cancellations: Callable[[list[CancelledJob]], Awaitable[bool]] | None = None
 
     async def handle(self, request: HTTPServerRequest) -> Answer:
         """Answer a request of a peer."""
         if request.path == wire.PEER_CANCELLATIONS_PATH:
-            return self._receive_cancellations(request)
+            return await self._receive_cancellations(request)
         if request.path != wire.PEER_STATUS_PATH:
             return 404, wire.encode_error("no such path"), {}
         if request.method != "GET":
@@ -155,16 +156,17 @@
         )
         return all(status == 200 for status, _ in answers)
 
-    def _receive_cancellations(self, request: HTTPServerRequest) -> Answer:
+    async def _receive_cancellations(self, request: HTTPServerRequest) -> Answer:
         if request.method != "POST":
             return 405, wire.encode_error("method not allowed"), {"Allow": "POST"}
-        if self.apply_cancellations is None:
+        if self.acknowledge_cancellations is None:
             return 503, wire.encode_error("starting"), {}
         try:
             broadcast = msgspec.json.decode(request.body, type=CancellationBroadcast)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             return 400, wire.encode_error(str(error)), {}
-        self.apply_cancellations(broadcast.cancelled)
+        if not await self.acknowledge_cancellations(broadcast.cancelled):
+            return 503, wire.encode_error("a job is not read yet"), {}
         return 200, b"{}", {}
 
     async def query_all(self, query: PeerQuery) -> list[PeerStatus]:
--- a/tests/test_cancelling.py
+++ b/tests/test_cancelling.py
@@ -11,8 +11,9 @@
 
 from measurements.simulation.cluster import Setup, run
 from measurements.simulation.faults import Fault
+from pearstep.controller.cancellation_exchange import CancellationExchange
 from pearstep.controller.leader_loop import LeaderLoop
-from pearstep.controller.peers import PeerClient
+from pearstep.controller.peers import CancelledJob, PeerClient
 from pearstep.controller.settings import Leading as LeadingSettings
 from pearstep.domain.job_state import JobState
 from pearstep.domain.team import Team
@@ -94,6 +95,13 @@
 def test_peers_apply_and_acknowledge_cancellations():
     applied = []
 
+    async def acknowledge(cancelled):
+        applied.append(cancelled)
+        return True
+
+    async def refuse(cancelled):
+        return False
+
     class InMemoryHttpClient:
         async def fetch(self, addr, method, path, body=None, timeout_s=4.0):
             request = SimpleNamespace(method=method, path=path, body=body)
@@ -103,12 +111,15 @@
     peers = {"b": PeerClient(None, {}), "c": PeerClient(None, {})}
     sender = PeerClient(InMemoryHttpClient(), {"n1": "b", "n2": "c"})
     assert not asyncio.run(sender.broadcast_cancellation("req-1", 7, 9))  # both peers are still starting
-    peers["b"].apply_cancellations = applied.append
+    peers["b"].acknowledge_cancellations = acknowledge
     assert not asyncio.run(sender.broadcast_cancellation("req-1", 7, 9)) and applied == [[("req-1", 7, 9)]]
-    peers["c"].apply_cancellations = applied.append
+    peers["c"].acknowledge_cancellations = acknowledge
     assert (
         asyncio.run(sender.broadcast_cancellation("req-2", 8, 9)) and applied[1:] == [[("req-2", 8, 9)]] * 2
     )
+    peers["c"].acknowledge_cancellations = refuse
+    assert not asyncio.run(sender.broadcast_cancellation("req-3", 9, 9))
+    peers["c"].acknowledge_cancellations = acknowledge
     for body in (b"{", b"[]", b'{"cancelled":[["req-1"]]}', b"\xff"):
         request = SimpleNamespace(method="POST", path=wire.PEER_CANCELLATIONS_PATH, body=body)
         assert asyncio.run(peers["b"].handle(request))[0] == 400
@@ -116,6 +127,45 @@
     assert asyncio.run(peers["b"].handle(request))[0] == 405
 
 
+@pytest.mark.parametrize("reachable", [True, False])
+def test_cancellation_of_a_job_that_is_not_read_yet_is_acknowledged_only_after_a_read(reachable):
+    # Without the read, this node could take over the job's shard from records older than the cancellation,
+    # and start tasks after the user was told.
+    world = ShardHarness()
+    world.ledger.txn({}, {"j/req-1": JobRecord(spec(tasks=1), world.now)})
+    version = world.ledger.txn(
+        {}, {"j/req-1": JobRecord(spec(tasks=1), world.now, JobState.CANCELLED, world.now)}
+    )
+
+    async def read_barrier():
+        if reachable:
+            world.catch_up()
+        return reachable
+
+    def apply_own_commit(key, version, record):
+        world.replica.put(key, version, msgspec.json.encode(record), world.now)
+
+    follower = SimpleNamespace(loaded=True, read_barrier=read_barrier, apply_own_commit=apply_own_commit)
+    exchange = CancellationExchange(world.replica, follower, None, None, now_us)
+    cancelled = [CancelledJob("req-1", version, world.now)]
+    receiver, sender = PeerClient(None, {}), PeerClient(None, {"n0": "a"})
+    receiver.acknowledge_cancellations = exchange.acknowledge
+
+    class InMemoryHttpClient:
+        async def fetch(self, addr, method, path, body=None, timeout_s=4.0):
+            request = SimpleNamespace(method=method, path=path, body=body)
+            status, answer, _ = await receiver.handle(request)
+            return status, answer
+
+    sender.client = InMemoryHttpClient()
+    assert asyncio.run(sender.broadcast_cancellation(*cancelled[0])) == reachable
+    job = world.replica.jobs.get("req-1")
+    assert (job is not None and job.state == JobState.CANCELLED) == reachable
+    # A node that has not listed the records yet cannot tell.
+    follower.loaded = False
+    assert not asyncio.run(exchange.acknowledge([CancelledJob("req-2", version, world.now)]))
+
+
 def slow_state_service_setup(seed):
     """Jobs are cancelled through every node while the state service answers slowly."""
     faults = [Fault("slow_state", 12.0, 28.0, share=0.5)]
--- a/tests/test_golden_peers.py
+++ b/tests/test_golden_peers.py
@@ -99,8 +99,11 @@
     async def status(query):
         return msgspec.json.decode(files.read("peers/status_all.json"), type=PeerStatus)
 
+    async def acknowledge(cancelled):
+        return True
+
     if not is_starting:
-        peer_client.answer_query, peer_client.apply_cancellations = status, lambda broadcast: None
+        peer_client.answer_query, peer_client.acknowledge_cancellations = status, acknowledge
     return peer_client
 
 
