--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pearstep.state.records import RouteRecord
-from tests.world import ShardHarness, spec
+from tests.world import ShardHarness
 
 
 def gather(world):
