Do not start a task in another session than its record names

A task of a gang with `one_zone` was on a machine of one zone while another task of the gang waited on a machine of another zone.

Cause: a stale right. A new session of an agent is evidence, once, that the attempts of earlier sessions are gone. If the commit that records such an end fails (no answer, or a conflict), the owner reloads the record, which still has the attempt. The reload put it back on the machine as placed, without asking whether its session had ended, and the next heartbeat answer started it in the new session. The record now named a session in which the task did not run. The next owner of the shard compared the record's session with the first message of the machine, took the running task for ended, and freed its place. The leader planned the gang anew, in another zone, while the old task stood. The same happened to an attempt whose placement was committed, with its answer lost, after its session had ended.

No record of that commit was kept, so the records do not prove it.

Change: a reload drops attempts of an earlier session than the machine's, and writes the record again (the end that was not recorded). So an attempt never outlives its session, and is never started in another one. Why it works: the owner alone writes the record and starts the task; with both tied to one session, a later session is evidence for every owner.

--- a/pearstep/shard/attempt_completion.py
+++ b/pearstep/shard/attempt_completion.py
@@ -48,6 +48,11 @@
         self.state.pass_due = True
         self._handle_cause(machine, attempt, draft, cause, now_us, wall_us)
 
+    def record_session(self, attempt: TaskAttempt, incarnation: int) -> None:
+        """Record that an attempt runs in a later session than its record names."""
+        attempt.incarnation = incarnation
+        self.state.draft_for(attempt.spec, attempt.task // TASKS_PER_RECORD).dirty = True
+
     def _handle_cause(
         self,
         machine: Machine,
--- a/pearstep/shard/heartbeats.py
+++ b/pearstep/shard/heartbeats.py
@@ -113,13 +113,21 @@
             # had already expired, and tasks just placed in it were freed and started twice.
             machine.lease_renewed_at_us = now_us
         if is_new_session:
-            self._begin_session(machine, heartbeat.incarnation, now_us, wall_us)
+            self._begin_session(machine, heartbeat, now_us, wall_us)
 
-    def _begin_session(self, machine: Machine, incarnation: int, now_us: int, wall_us: int) -> None:
-        """End the attempts of earlier sessions: their lease expired and the worker killed their tasks."""
-        for attempt in [a for a in machine.attempts.values() if a.incarnation < incarnation]:
-            self.completion.record_end(machine, attempt, "lost", now_us, wall_us)
-        machine.incarnation = incarnation
+    def _begin_session(self, machine: Machine, heartbeat: Heartbeat, now_us: int, wall_us: int) -> None:
+        """End the attempts of earlier sessions: their lease expired and the worker killed their tasks.
+
+        A task that the new session reports was started in it, by a controller of a version that also started
+        attempts in other sessions than their records name.
+        """
+        reported = {(task.name, task.attempt) for task in heartbeat.tasks}
+        for attempt in [a for a in machine.attempts.values() if a.incarnation < heartbeat.incarnation]:
+            if (attempt.name, attempt.number) in reported:
+                self.completion.record_session(attempt, heartbeat.incarnation)
+            else:
+                self.completion.record_end(machine, attempt, "lost", now_us, wall_us)
+        machine.incarnation = heartbeat.incarnation
         machine.tasks_to_forget.clear()
         machine.unanswered_starts.clear()
         machine.unknown_tasks.clear()
--- a/pearstep/shard/machine.py
+++ b/pearstep/shard/machine.py
@@ -88,7 +88,8 @@
         awaiting_answer: Whether its latest heartbeat has not been answered yet; late copies do not count.
         unreachable_since_us: Since when it has sent heartbeats without confirming our messages; None if it
             confirms them.
-        attempts: Attempts that may be on it, by task key.
+        attempts: Attempts that may be on it, by task key; none of them is of an earlier session than
+            ``incarnation``.
         tasks_to_forget: Ended tasks whose end is recorded, which the worker may forget.
         unrecorded_ends: Ended tasks whose end is not recorded yet.
         unanswered_starts: Tasks whose direct start command has not been answered.
--- a/pearstep/shard/shard_state.py
+++ b/pearstep/shard/shard_state.py
@@ -177,9 +177,14 @@
         self.pass_due = True
 
     def _restore_attempt(self, draft: PlacementDraft, attempt: TaskAttempt) -> None:
-        """Add a committed attempt to its machine, or drop it if the machine was deleted."""
+        """Add a committed attempt to its machine, or drop it if the machine or the session has ended."""
         machine = self.machines.get(attempt.machine)
-        if machine is not None:
+        if machine is not None and attempt.incarnation < machine.incarnation:
+            # The new session was evidence of the end once, when it began, and will not be again. The commit
+            # with the end failed, or the attempt was committed after the session had ended.
+            del draft.attempts[attempt.task]
+            draft.dirty = True
+        elif machine is not None:
             key = (attempt.name, attempt.number)
             machine.attempts[key] = attempt
             machine.unrecorded_ends.discard(key)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -5,9 +5,12 @@
 """
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from pearstep.shard.commands import ShardActions
 from pearstep.state.records import RouteRecord
-from tests.world import ShardHarness
+from tests.world import ShardHarness, spec
 
 
 def gather(world):
@@ -50,3 +53,87 @@
     world.take_over()
     world.report(machine, (task, attempt, "running"), session=2)
     assert (task, attempt) in world.owner.machines[machine].attempts
+
+
+def test_attempt_committed_after_its_session_ended_is_not_started_in_the_next_session():
+    world = ShardHarness()
+    world.add_machine("m0")
+    world.submit(spec(tasks=1))
+    batch, transaction = gather(world)
+    (placed,) = batch.placed_attempts
+    world.report("m0", session=2)
+    world.ledger.txn(*transaction)  # applied, and its answer is lost
+    world.catch_up()
+    world.owner.on_rejected(batch, world.now, world.now, unchanged=False)
+    assert (placed.name, placed.number) not in starts(world.report("m0", session=2))
+
+
+class Agent:
+    """An agent as it is, with the tasks that it runs, and the owner of its shard."""
+
+    def __init__(self):
+        self.world = ShardHarness()
+        self.session = 1
+        self.running = set()
+        self.world.add_machine("m0")
+        self.world.submit(spec(tasks=1))
+
+    def heartbeat_without_answer(self):
+        tasks = [(task, attempt, "running") for task, attempt in sorted(self.running)]
+        return self.world.report("m0", *tasks, session=self.session)
+
+    def heartbeat(self):
+        for command in self.heartbeat_without_answer():
+            if command.action == "start":
+                self.running.add((command.task, command.attempt))
+            elif command.action == "stop":
+                self.running.discard((command.task, command.attempt))
+
+    def lose_lease(self):
+        self.running.clear()
+        self.session += 1
+
+    def commit(self, applied=True, answered=True):
+        self.world.run_pass()
+        if not self.world.owner.has_writes(self.world.now):
+            return
+        batch, transaction = gather(self.world)
+        revision = self.world.ledger.txn(*transaction) if applied else 0
+        self.world.catch_up()
+        if applied and answered:
+            # Starts are left to the answers to heartbeats.
+            self.world.owner.on_committed(batch, revision, ShardActions())
+        else:
+            self.world.owner.on_rejected(batch, self.world.now, self.world.now, unchanged=False)
+
+    def commit_not_applied(self):
+        self.commit(applied=False)
+
+    def commit_without_answer(self):
+        self.commit(answered=False)
+
+    def take_over(self):
+        self.world.take_over()
+
+    def tasks_without_a_record(self):
+        """Return what runs although no record places it here."""
+        placements = self.world.replica.jobs["req-1"].placements.values()
+        placed = {
+            (f"req-1/{task}", placement.attempt)
+            for chunk in placements
+            for task, placement in chunk.record.placements.items()
+        }
+        return self.running - placed
+
+
+EVENTS = ["heartbeat", "heartbeat_without_answer", "lose_lease", "take_over"]
+EVENTS += ["commit", "commit_not_applied", "commit_without_answer"]
+
+
+@settings(max_examples=1000)
+@given(st.lists(st.sampled_from(EVENTS), min_size=10, max_size=40))
+def test_task_that_runs_always_has_a_record(events):
+    agent = Agent()
+    for event in events:
+        getattr(agent, event)()
+        assert not agent.tasks_without_a_record()
