Log each start and each freed place with token, session, revision and evidence

A controller logged neither starts nor ends of attempts at info, and a commit that was not applied did not say what was in it.

`record_end` takes the evidence as a type in place of the word "lost".

A controller has no metrics endpoint, so none was added.

--- a/pearstep/controller/lease_claimer.py
+++ b/pearstep/controller/lease_claimer.py
@@ -197,7 +197,7 @@
         """Start acting as the holder of a claimed key."""
         if key == LEADER_KEY:
             self._held.leadership = self._dependencies.create_leadership(fencing_token)
-            log.info("leadership acquired", fencing_token=fencing_token)
+            log.info("leadership acquired", fencing_token=fencing_token, read_revision=self._replica.revision)
         else:
             shard_id = int(key.partition("/")[2])
             owner = self._dependencies.create_owner(shard_id, fencing_token)
@@ -207,5 +207,6 @@
                 shard=shard_id,
                 fencing_token=owner.fencing_token,
                 machines=len(owner.machines),
+                read_revision=self._replica.revision,
             )
         self._dependencies.on_acquired()
--- a/pearstep/controller/route_writer.py
+++ b/pearstep/controller/route_writer.py
@@ -7,6 +7,7 @@
 
 from pearstep.controller.leader_transactions import LeaderContext, LeaderTransactions
 from pearstep.leader.route_plan import RoutePlan
+from pearstep.state.records import RouteRecord
 from pearstep.transport.event_log import EventLogger
 from pearstep.transport.kv_client import CommitOutcome
 
@@ -100,8 +101,8 @@
         If the transaction is malformed, each plan is written separately. A single plan whose transaction is
         malformed is written step by step.
         """
-        log.debug("writing routes", keys=list(puts))
-        if await self.transactions.commit(puts, conditions) != CommitOutcome.MALFORMED:
+        outcome = await self._commit_routes(puts, conditions)
+        if outcome != CommitOutcome.MALFORMED:
             return
         if len(plans) == 1:
             await self._write_steps(plans[0])
@@ -115,6 +116,27 @@
             conditions = dict(step.conditions)
             if step.follows_withdrawal:
                 conditions[step.key] = self.replica.version_of(step.key)
-            outcome = await self.transactions.commit({step.key: step.route}, conditions)
+            outcome = await self._commit_routes({step.key: step.route}, conditions)
             if outcome != CommitOutcome.COMMITTED or not self.transactions.is_current():
                 return
+
+    async def _commit_routes(self, routes: dict[str, RouteRecord], conditions: dict[str, int]) -> str:
+        """Write routes in one transaction; return the ``CommitOutcome``."""
+        fields: dict[str, object] = {
+            "fencing_token": self.transactions.fencing_token,
+            "read_revision": self.replica.revision,
+            "routes": [_label(key, route) for key, route in routes.items()],
+        }
+        outcome = await self.transactions.commit(routes, conditions)
+        if outcome == CommitOutcome.COMMITTED:
+            log.info("routes written", revision=self.replica.version_of(next(iter(routes))), **fields)
+        else:
+            log.info("routes not written", outcome=outcome, **fields)
+        return outcome
+
+
+def _label(key: str, route: RouteRecord) -> str:
+    """Return a route for the log, as in ``r/0/req-1=0-5@2``: its tasks, and its attempt if it has one."""
+    tasks = [route.tasks, *(f"{zone}:{text}" for zone, text in (route.zone_tasks or {}).items())]
+    attempt = f"@{route.attempt}" if route.attempt else ""
+    return f"{key}={'+'.join(filter(None, tasks))}{attempt}"
--- a/pearstep/controller/shard_loop.py
+++ b/pearstep/controller/shard_loop.py
@@ -201,6 +201,16 @@
         """Apply a commit that was sent at a time to the replica, and send the commands that it allows."""
         actions = ShardActions()
         owner.on_committed(batch, result.revision, actions)
+        if batch.placed_attempts or batch.freed:
+            log.info(
+                "shard commit applied",
+                shard=owner.shard_id,
+                fencing_token=owner.fencing_token,
+                read_revision=batch.read_revision,
+                revision=result.revision,
+                placed=batch.placed_labels,
+                freed=batch.freed_labels,
+            )
         for attempt in batch.placed_attempts:
             log.debug(
                 "attempt placed",
@@ -230,6 +240,10 @@
             shard=owner.shard_id,
             outcome=result.state,
             failed=result.failed[:MAX_LOGGED_KEYS],
+            fencing_token=owner.fencing_token,
+            read_revision=batch.read_revision,
+            placed=batch.placed_labels,
+            freed=batch.freed_labels,
         )
         is_conflict = result.state == CommitOutcome.CONFLICT
         # Only an up-to-date replica shows the conflicting record, or whether the commit was applied.
--- a/pearstep/domain/attempt.py
+++ b/pearstep/domain/attempt.py
@@ -103,6 +103,11 @@
         """The name of the task in messages to and from agents."""
         return f"{self.spec.job_id}/{self.task}"
 
+    @property
+    def label(self) -> str:
+        """The attempt, its machine and the agent's session, as in ``req-1/0@2:i-000017#3``, for logs."""
+        return f"{self.name}@{self.number}:{self.machine}#{self.incarnation}"
+
     def observe(self, phase: str, now_us: int) -> None:
         """Apply a heartbeat that reports the attempt.
 
--- a/pearstep/shard/attempt_completion.py
+++ b/pearstep/shard/attempt_completion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pearstep.domain.attempt import ATTEMPT_TRANSITIONS, AttemptState, TaskAttempt
+from pearstep.shard.freed_attempt import EndEvidence, FreedAttempt
 from pearstep.shard.machine import Machine
 from pearstep.shard.placement_drafts import PlacementDraft
 from pearstep.shard.shard_state import ShardState
@@ -24,18 +25,20 @@
         self,
         machine: Machine,
         attempt: TaskAttempt,
-        cause: str,
+        evidence: EndEvidence,
         now_us: int,
         wall_us: int,
+        cause: str = "",
     ) -> None:
         """Free the resources of an attempt that has provably ended, and record its end.
 
         Args:
             machine: The machine of the attempt.
             attempt: The attempt.
-            cause: Why it ended, as on the wire; "lost" if the reason is unknown.
+            evidence: How the end is known.
             now_us: Time of the monotonic clock.
             wall_us: Time of the wall clock.
+            cause: Why it exited, as on the wire; empty if its agent did not report that.
         """
         key = (attempt.name, attempt.number)
         ATTEMPT_TRANSITIONS.transition(attempt, AttemptState.ENDED)
@@ -44,6 +47,7 @@
         draft = self.state.draft_for(attempt.spec, attempt.task // TASKS_PER_RECORD)
         if draft.attempts.get(attempt.task) is attempt:
             del draft.attempts[attempt.task]
+        draft.freed.append(FreedAttempt(attempt, evidence, cause))
         draft.dirty = True
         self.state.pass_due = True
         self._handle_cause(machine, attempt, draft, cause, now_us, wall_us)
--- a/pearstep/shard/group_commit.py
+++ b/pearstep/shard/group_commit.py
@@ -79,7 +79,8 @@
         """Return a group commit of the key ``only_key``; if that is None, of all keys not isolated."""
         state = self.state
         limits = state.config.transaction_limits
-        batch = GroupCommit(limits, f"part/{state.shard_id}", state.fencing_token)
+        shard_key = f"part/{state.shard_id}"
+        batch = GroupCommit(limits, shard_key, state.fencing_token, state.replica.revision)
         self._add_drafts(batch, only_key, now_us)
         if only_key is None:
             self._add_completed_jobs(batch, wall_us)
@@ -162,6 +163,9 @@
         if len(included) < len(new_attempts):
             batch.partial_keys.add(draft.key)
         batch.recorded_ends.extend(ends.get((draft.spec.job_id, draft.chunk), ()))
+        if draft.freed:
+            batch.freed[draft.key] = draft.freed
+            draft.freed = []
         draft.dirty = False
         draft.in_flight = True
         draft.written_at_us = now_us
@@ -453,6 +457,7 @@
             draft.in_flight = False
             if unchanged or (failed and not self._depends_on(draft, batch, failed)):
                 draft.dirty = True
+                draft.freed = [*batch.freed.get(draft.key, ()), *draft.freed]
             else:
                 reloaded_drafts.add((draft.spec.job_id, draft.chunk))
                 self.state.reload_draft(draft, now_us, wall_us)
--- a/pearstep/shard/heartbeats.py
+++ b/pearstep/shard/heartbeats.py
@@ -11,6 +11,7 @@
 from pearstep.domain.units import SECOND_US
 from pearstep.shard.attempt_completion import AttemptCompletion
 from pearstep.shard.commands import Command, CommandAction, Heartbeat, TaskStatus, parse_task_name
+from pearstep.shard.freed_attempt import EndEvidence
 from pearstep.shard.machine import MACHINE_TRANSITIONS, Machine, MachineState, TaskKey
 from pearstep.shard.shard_state import ShardState
 from pearstep.state.records import MachineRecord
@@ -126,7 +127,7 @@
             if (attempt.name, attempt.number) in reported:
                 self.completion.record_session(attempt, heartbeat.incarnation)
             else:
-                self.completion.record_end(machine, attempt, "lost", now_us, wall_us)
+                self.completion.record_end(machine, attempt, EndEvidence.SESSION_ENDED, now_us, wall_us)
         machine.incarnation = heartbeat.incarnation
         machine.tasks_to_forget.clear()
         machine.unanswered_starts.clear()
@@ -195,7 +196,8 @@
                 elif key not in machine.unrecorded_ends:
                     machine.tasks_to_forget.add(key)
             elif task.state == "exited":
-                self.completion.record_end(machine, attempt, task.cause or "error", now_us, wall_us)
+                cause = task.cause or "error"
+                self.completion.record_end(machine, attempt, EndEvidence.EXITED, now_us, wall_us, cause)
             else:
                 if task.state != "fetching":
                     machine.record_image(attempt.spec)
@@ -234,7 +236,7 @@
             if attempt.state == _OBSERVED or (
                 attempt.state == _PLACED and attempt.stop_grace_us is not None and not direct
             ):
-                self.completion.record_end(machine, attempt, "lost", now_us, wall_us)
+                self.completion.record_end(machine, attempt, EndEvidence.NOT_REPORTED, now_us, wall_us)
 
     def on_heartbeat_answered(self, machine: Machine, now_us: int) -> None:
         """Renew the lease when an answer with our token is sent to the worker.
--- a/pearstep/shard/machine_lifecycle.py
+++ b/pearstep/shard/machine_lifecycle.py
@@ -11,6 +11,7 @@
 from pearstep.failure_detection.timeouts import AGENT_FAILOVER_US
 from pearstep.shard.attempt_completion import AttemptCompletion
 from pearstep.shard.commands import IMMEDIATE_DRAIN_REASONS, ShardActions
+from pearstep.shard.freed_attempt import EndEvidence
 from pearstep.shard.machine import MACHINE_TRANSITIONS, Machine, MachineState
 from pearstep.shard.placement_drafts import PlacementDraft
 from pearstep.shard.shard_state import ShardState, stop_grace_us
@@ -190,7 +191,7 @@
             return
         for attempt in list(machine.attempts.values()):
             if attempt.state != _PLACING:
-                self.completion.record_end(machine, attempt, "lost", now_us, wall_us)
+                self.completion.record_end(machine, attempt, EndEvidence.LEASE_EXPIRED, now_us, wall_us)
 
     def _replace_lost(self, machine: Machine, silence_us: int, now_us: int, wall_us: int) -> None:
         """Request the drain of a machine that has been unreachable or silent for too long."""
@@ -324,7 +325,7 @@
         machine = state.machines.pop(name, None)
         if machine is not None:
             for attempt in list(machine.attempts.values()):
-                self.completion.record_end(machine, attempt, "lost", now_us, wall_us)
+                self.completion.record_end(machine, attempt, EndEvidence.MACHINE_DELETED, now_us, wall_us)
             MACHINE_TRANSITIONS.transition(machine, _GONE)
         state.deleted_machines.add(name)
         self.early_deletes.pop(name, None)
--- a/pearstep/shard/placement_drafts.py
+++ b/pearstep/shard/placement_drafts.py
@@ -7,6 +7,7 @@
 
 from pearstep.domain.attempt import AttemptState, TaskAttempt
 from pearstep.domain.job_spec import JobSpec
+from pearstep.shard.freed_attempt import FreedAttempt
 from pearstep.state.records import TASKS_PER_RECORD, Placement, PlacementRecord, fence_key, placement_key
 from pearstep.state.transactions import TransactionLimits, TransactionSize
 
@@ -19,6 +20,7 @@
         chunk: Number of the chunk, of ``TASKS_PER_RECORD`` tasks each.
         key: Key of the record.
         attempts: The placed attempts, by task number.
+        freed: Attempts that have ended since the last group commit.
         done_tasks: Bit set of the job's tasks that are done.
         last_attempt: Highest attempt number so far.
         consecutive_failures: Failures since the last success.
@@ -36,6 +38,7 @@
         "consecutive_failures",
         "dirty",
         "done_tasks",
+        "freed",
         "in_flight",
         "key",
         "last_attempt",
@@ -51,6 +54,7 @@
         self.chunk = chunk
         self.key = placement_key(shard_id, spec.job_id, chunk)
         self.attempts: dict[int, TaskAttempt] = {}
+        self.freed: list[FreedAttempt] = []
         self.done_tasks = 0
         self.last_attempt = 0
         self.consecutive_failures = 0
@@ -76,6 +80,7 @@
     def reset(self) -> None:
         """Reset the draft to a chunk without a committed record."""
         self.attempts = {}
+        self.freed = []
         self.done_tasks = 0
         self.last_attempt = 0
         self.version = 0
@@ -85,6 +90,7 @@
         """Load the committed record; attempts that exist already keep their observed state."""
         previous_attempts = self.attempts
         self.attempts = {}
+        self.freed = []
         for task, placement in record.placements.items():
             previous = previous_attempts.get(task)
             if previous is not None and (previous.machine, previous.number) == (
@@ -125,11 +131,15 @@
         drafts: Drafts that the commit writes.
         placed_attempts: New placements; the tasks may start after the commit.
         recorded_ends: Ends of attempts that the commit records, as machine name and task key.
+        freed: Attempts whose places the commit frees, by the key of their record.
+        read_revision: Revision up to which the owner had read when it decided.
         finished_jobs: Jobs whose ends the commit records.
         partial_keys: Keys of records with new placements that are left for a later transaction.
     """
 
-    def __init__(self, limits: TransactionLimits, shard_key: str, fencing_token: int) -> None:
+    def __init__(
+        self, limits: TransactionLimits, shard_key: str, fencing_token: int, read_revision: int
+    ) -> None:
         """Create an empty commit, conditional on the shard's key having the version ``fencing_token``."""
         self.preconditions: dict[str, int] = {shard_key: fencing_token}
         self.size = TransactionSize(limits, [shard_key, fence_key(shard_key)])
@@ -138,6 +148,8 @@
         self.drafts: list[PlacementDraft] = []
         self.placed_attempts: list[TaskAttempt] = []
         self.recorded_ends: list[tuple[str, tuple[str, int]]] = []
+        self.freed: dict[str, list[FreedAttempt]] = {}
+        self.read_revision = read_revision
         self.finished_jobs: list[str] = []
         self.partial_keys: set[str] = set()
 
@@ -146,6 +158,16 @@
         """The number of puts and deletes."""
         return len(self.puts) + len(self.deletes)
 
+    @property
+    def placed_labels(self) -> list[str]:
+        """The new placements, for the log."""
+        return [attempt.label for attempt in self.placed_attempts]
+
+    @property
+    def freed_labels(self) -> list[str]:
+        """The attempts whose places the commit frees, with the evidence, for the log."""
+        return [freed.label for attempts in self.freed.values() for freed in attempts]
+
     @property
     def keys(self) -> list[str]:
         """The keys that the commit writes."""
--- a/pearstep/shard/shard_state.py
+++ b/pearstep/shard/shard_state.py
@@ -20,6 +20,7 @@
     ShardActions,
     ShardOwnerConfig,
 )
+from pearstep.shard.freed_attempt import EndEvidence, FreedAttempt
 from pearstep.shard.machine import Machine
 from pearstep.shard.placement_drafts import PlacementDraft
 from pearstep.state.job import Job
@@ -182,8 +183,7 @@
         if machine is not None and attempt.incarnation < machine.incarnation:
             # The new session was evidence of the end once, when it began, and will not be again. The commit
             # with the end failed, or the attempt was committed after the session had ended.
-            del draft.attempts[attempt.task]
-            draft.dirty = True
+            self._drop_attempt(draft, attempt, EndEvidence.SESSION_ENDED)
         elif machine is not None:
             key = (attempt.name, attempt.number)
             machine.attempts[key] = attempt
@@ -192,8 +192,14 @@
         elif attempt.machine in self.deleted_machines or attempt.machine not in self.replica.machines:
             # A machine's record is deleted only after the cloud has confirmed the machine's deletion. The
             # ends of its attempts may be missing if their commit was rejected or the owner failed.
-            del draft.attempts[attempt.task]
-            draft.dirty = True
+            self._drop_attempt(draft, attempt, EndEvidence.MACHINE_DELETED)
+
+    @staticmethod
+    def _drop_attempt(draft: PlacementDraft, attempt: TaskAttempt, evidence: EndEvidence) -> None:
+        """Drop a committed attempt that ended earlier, so that its end is recorded."""
+        del draft.attempts[attempt.task]
+        draft.freed.append(FreedAttempt(attempt, evidence))
+        draft.dirty = True
 
     def on_job_changed(self, job_id: str, now_us: int, wall_us: int, by_owner: bool = False) -> None:
         """Handle a change of a job's records in the replica; ``by_owner``: of a placement record."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -4,6 +4,7 @@
 from pearstep.domain.units import SECOND_US
 from pearstep.protocol.controller_messages import OPERATION_TO_WIRE, encode_commands
 from pearstep.shard.commands import Command, CommandAction, Heartbeat, ShardActions
+from pearstep.shard.freed_attempt import EndEvidence
 from pearstep.state.records import DrainRecord, JobRecord, PlacementRecord, RouteRecord
 from tests.world import ShardHarness, spec
 
@@ -296,7 +297,9 @@
         a = next(
             a for m in world.owner.machines.values() for a in m.attempts.values() if a.spec.job_id == job_id
         )
-        world.owner.completion.record_end(world.owner.machines["m0"], a, "error", world.now, world.now)
+        world.owner.completion.record_end(
+            world.owner.machines["m0"], a, EndEvidence.EXITED, world.now, world.now, "error"
+        )
     world.run_and_commit()
     assert world.replica.drains["m0"].reason == "sick"
     world = ShardHarness()
