test_golden_agents: stand-ins as the log of starts needs them

Change: the stand-ins give `Command`s, a shard and a session. Golden files and assertions are untouched.

--- a/tests/test_golden_agents.py
+++ b/tests/test_golden_agents.py
@@ -9,6 +9,7 @@
 from pearstep.controller.agent_gateway import AgentGateway, to_heartbeat
 from pearstep.protocol import agent_messages as agent
 from pearstep.protocol import controller_messages as wire
+from pearstep.shard.commands import Command, CommandAction
 from pearstep.state.records import LeaseHolderRecord, ShardLayoutRecord, WriteFenceRecord
 from pearstep.state.replica import Replica
 from pearstep.worker import gangs
@@ -62,10 +63,10 @@
     ),
 }
 COMMANDS = [
-    ("start", "req-7/0", 1, None),
-    ("stop", "req-7/1", 2, 6.5),
-    ("stop", "req-7/2", 3, 0.0),
-    ("forget", "req-7/3", 4, None),
+    Command(CommandAction.START, "req-7/0", 1),
+    Command(CommandAction.STOP, "req-7/1", 2, 6.5),
+    Command(CommandAction.STOP, "req-7/2", 3, 0.0),
+    Command(CommandAction.FORGET, "req-7/3", 4),
 ]
 # Fencing token, commands, and incarnation, which only direct commands have.
 ENCODED_COMMANDS = {
@@ -178,6 +179,7 @@
 class StubOwner:
     """Accepts all heartbeats, with the same commands for all machines; ``machine``: None if unusable."""
 
+    shard_id = 0
     fencing_token = 12
     pass_due = False
     pending_writes: dict = {}
@@ -195,7 +197,7 @@
         pass
 
 
-STUB_MACHINE = SimpleNamespace(name="i-1")
+STUB_MACHINE = SimpleNamespace(name="i-1", incarnation=4, unknown_tasks={})
 LAYOUT_RECORDS = [("layout", 1, ShardLayoutRecord(["north", "south"])), ("e/part/0", 2, WriteFenceRecord())]
 
 
