Send a direct start only while its attempt has its place

Callers would see: a task on two machines, or in two zones.

Cause: the check stood in one path and not in the other. Answers to heartbeats are made from the attempts that have a place now; a direct start was made when its placement was committed, and before it was sent only its job was looked at. A session of the agent may end in between. If that is seen before the request begins, the start was sent to the new session, by whose number the request is made, and the agent executes it, after its place is freed.

Change: a start is left out, when the request is made and when its connection is open, unless its attempt has its place on the machine still.

--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -392,20 +392,24 @@
         """
         for name, requested in actions.commands.items():
             machine = owner.machines.get(name)
-            commands = self._permitted(owner, requested, confirmed_at_us)
-            if machine is not None and (commands or not requested):
+            if machine is None:
+                continue
+            commands = self._permitted(owner, machine, requested, confirmed_at_us)
+            if commands or not requested:
                 self._tasks.start(
                     self._send(owner, machine, commands[:MAX_COMMANDS_PER_MESSAGE], confirmed_at_us)
                 )
 
-    def _permitted(self, owner: ShardOwner, commands: list[Command], confirmed_at_us: int) -> list[Command]:
+    def _permitted(
+        self, owner: ShardOwner, machine: Machine, commands: list[Command], confirmed_at_us: int
+    ) -> list[Command]:
         """Return the commands without starts that may not be sent now."""
         if not self.start_permission.is_granted(confirmed_at_us):
             return _without_starts(commands)
         return [
             command
             for command in commands
-            if command.action != CommandAction.START or owner.allows_start(command.task)
+            if command.action != CommandAction.START or owner.allows_start(machine, command)
         ]
 
     async def _send(
@@ -419,7 +423,7 @@
         def encode() -> bytes:
             """Encode the commands that are permitted now that the connection is open."""
             nonlocal permitted
-            permitted = self._permitted(owner, commands, confirmed_at_us)
+            permitted = self._permitted(owner, machine, commands, confirmed_at_us)
             self._log_starts(owner, machine, permitted, "command")
             return wire.encode_commands(owner.fencing_token, permitted, incarnation)
 
--- a/pearstep/shard/owner.py
+++ b/pearstep/shard/owner.py
@@ -123,9 +123,10 @@
         """Return the commands for the answer to a heartbeat; ``starts``: whether tasks may start."""
         return self.heartbeats.commands_for(machine, starts)
 
-    def allows_start(self, task: str) -> bool:
-        """Return whether a task may be started: its job is not cancelled."""
-        return not self.state.is_cancelled(parse_task_name(task)[0])
+    def allows_start(self, machine: Machine, start: Command) -> bool:
+        """Return whether an attempt may be started: it has its place still, and its job is not cancelled."""
+        is_placed = (start.task, start.attempt) in machine.attempts
+        return is_placed and not self.state.is_cancelled(parse_task_name(start.task)[0])
 
     def on_commands_sent(self, machine: Machine, commands: list[Command], now_us: int) -> None:
         """Note that direct commands were sent."""
--- a/tests/test_start_permission.py
+++ b/tests/test_start_permission.py
@@ -102,11 +102,12 @@
         status, body, _ = asyncio.run(answer())
         return status, [order["verb"] for order in msgspec.json.decode(body).get("orders", ())]
 
-    def send(self, actions, confirmed_at_us=NEVER_US):
-        """Send the commands of some actions to the agents."""
+    def send(self, actions, confirmed_at_us=NEVER_US, before_requests=lambda: None):
+        """Send the commands of some actions; ``before_requests`` is called before the requests begin."""
 
         async def send():
             self.gateway.send_commands(self.world.owner, actions, confirmed_at_us)
+            before_requests()
             await asyncio.sleep(0)
 
         asyncio.run(send())
@@ -211,6 +212,21 @@
     assert (("req-2/0", 1) in unanswered) == (trouble == "none")
 
 
+@pytest.mark.parametrize("waits_for", ["its turn", "its connection"])
+def test_direct_start_of_an_attempt_that_ended_with_its_session_is_not_sent_to_the_next(waits_for):
+    owner = OwnerWithPeer()
+    actions = owner.place_another()
+
+    def begin_session():
+        owner.world.report(MACHINE, session=2)
+
+    if waits_for == "its connection":
+        owner.agent.on_connected = begin_session
+    owner.send(actions, owner.now(), begin_session if waits_for == "its turn" else lambda: None)
+    assert owner.agent.sent == []
+    assert not owner.world.owner.machines[MACHINE].unanswered_starts
+
+
 def test_commands_other_than_starts_are_sent_without_a_permission():
     owner = OwnerWithPeer()
     machine = owner.world.owner.machines[MACHINE]
