Simulation: sessions that end while all controllers end, and gangs that span shards

Gangs had at most 4 tasks of 10 CPUs, so hardly any was spread over shards. Between the end of a place and the stop of the task there is rarely time for anything to go wrong.

--- a/measurements/simulation/built.py
+++ b/measurements/simulation/built.py
@@ -56,6 +56,9 @@
     # The most CPUs of each team, 0: any number.
     most_cpus: tuple[float, float] = (160.0, 0.0)
     tuning: dict[str, Any] = {}
+    # How many tasks gangs may have, and the CPUs of each.
+    gang_tasks: tuple[int, ...] = (1, 2, 4)
+    gang_cpus: float = 10.0
 
     @property
     def cancel_s(self) -> float:
@@ -271,8 +274,8 @@
         elif kind == "gang":
             one |= dict(
                 job_class="solver",
-                tasks=rng.choice([1, 2, 4]),
-                cpus=10.0,
+                tasks=rng.choice(self.setup.gang_tasks),
+                cpus=self.setup.gang_cpus,
                 one_zone=True,
                 checkpoint_us=5 * SECOND_US,
                 save_us=2 * SECOND_US,
--- a/measurements/simulation/meetings.py
+++ b/measurements/simulation/meetings.py
@@ -216,6 +216,24 @@
     ]
 
 
+# All controllers are away for longer than the lease of ``BUILT``.
+AWAY_S = 12.0
+
+
+def sessions_over(at_s: float) -> list[Fault]:
+    """Agents' sessions end while all controllers are away, transactions are late when these are back, and all
+    end again while three are out of the agents' reach: a session's end is seen, and not recorded, by an owner
+    that ends.
+    """
+    ends_s = at_s + AWAY_S + 15.0
+    return [
+        Fault("nodes_crash", at_s, back_s=AWAY_S),
+        Fault("late_writes", at_s + AWAY_S - 0.5, 12.0, share=0.5),
+        *(Fault("node_no_workers", ends_s - 0.5, 9.0, [n]) for n in (2, 3, 4)),
+        Fault("nodes_crash", ends_s, back_s=1.0),
+    ]
+
+
 MEETINGS: dict[str, Drawn] = {
     "uneven": _uneven,
     "old_reports": _old_reports,
@@ -238,6 +256,7 @@
     "away": _away,
     "ten_leaders": _ten_leaders,
     "bound": _bound,
+    "sessions_over": lambda rng, at_s: sessions_over(at_s),
 }
 # What is built differently for a meeting (``Setup``).
 BUILT: dict[str, dict[str, object]] = {
@@ -246,6 +265,20 @@
     "limits": {"most_cpus": (44.0, 44.0), "load": 0.12, "kinds": (5, 3, 0), "more_s": 150.0},
     "bound": {"bound": 0.7, "more_s": 200.0},
     "quick_machines": {"more_s": 200.0},
+    "sessions_over": {
+        "nodes": 5,
+        "zones": 2,
+        "machines": 16,
+        "lease_s": 10.0,
+        "report_s": 1.0,
+        "load": 0.2,
+        "run_s": (40.0, 80.0),
+        "kinds": (1, 5, 0),
+        "most_cpus": (0.0, 0.0),
+        "gang_tasks": (2, 4, 6),
+        "gang_cpus": 15.0,
+        "more_s": 150.0,
+    },
 }
 
 
