Agent gateway: the log of tasks and starts in a module of its own

Change: `TaskLog` (controller/task_log.py) writes `task reported`, `starts sent` and `tasks without a record reported`, with one function for the fields that the last two share. Events, levels and the logger's name are as before.

--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -12,12 +11,13 @@
 from tornado.httputil import HTTPServerRequest
 
 from pearstep.controller.start_permission import unrestricted_start_permission
+from pearstep.controller.task_log import TaskLog
 from pearstep.domain.units import SECOND_US
 from pearstep.failure_detection.staleness import NEVER_US
 from pearstep.failure_detection.timeouts import AGENT_FAILOVER_US
 from pearstep.protocol import controller_messages as wire
 from pearstep.shard.commands import Command, CommandAction, Heartbeat, ShardActions, TaskStatus
-from pearstep.shard.machine import Machine, TaskKey
+from pearstep.shard.machine import Machine
 from pearstep.shard.owner import ShardOwner
 from pearstep.state.records import ShardLayoutRecord
 from pearstep.state.replica import Replica
@@ -135,8 +135,7 @@
         # Machines that sent heartbeats here although another node owns their shard. They show an owner that
         # it has lost contact with its agents, rather than the agents with all nodes.
         self.misdirected: dict[str, MisdirectedHeartbeat] = {}
-        # The unknown tasks that were last logged, by machine.
-        self._logged_unknown_tasks: dict[str, set[TaskKey]] = {}
+        self._task_log = TaskLog(replica)
         self._tasks = BackgroundTasks(log)
 
     # -- heartbeats ------------------------------------------------------------------------------
@@ -194,9 +193,8 @@
         machine = owner.on_heartbeat(to_heartbeat(message), self.now_us(), self.wall_us())
         if machine is None:
             return _unavailable("machine not usable")
-        if log.is_enabled_for(logging.DEBUG):
-            self._log_tasks(message, machine)
-        self._log_unknown_tasks(owner, machine)
+        self._task_log.log_reported(message)
+        self._task_log.log_unknown(owner, machine)
         if self._must_read_before_starts(owner, machine):
             return self._answer_after_read(owner, machine)
         return self._answer_with_commands(owner, machine)
@@ -220,59 +218,12 @@
         # may start. So without the permission no start commands are sent.
         starts = not self.kv_unavailable() and self.start_permission.is_granted()
         commands = owner.commands_for(machine, starts=starts)[:MAX_COMMANDS_PER_MESSAGE]
-        self._log_starts(owner, machine, commands, "heartbeat")
+        self._task_log.log_starts(owner, machine, commands, "heartbeat")
         owner.on_heartbeat_answered(machine, self.now_us())
         if owner.pass_due or owner.pending_writes:
             self.request_pass()
         return 200, wire.encode_commands(owner.fencing_token, commands), {}
 
-    def _log_starts(
-        self, owner: ShardOwner, machine: Machine, commands: list[Command], sent_with: str
-    ) -> None:
-        """Log start commands with what allows them: the token, the session and the revision read."""
-        started = [f"{c.task}@{c.attempt}" for c in commands if c.action == CommandAction.START]
-        if started:
-            log.info(
-                "starts sent",
-                shard=owner.shard_id,
-                fencing_token=owner.fencing_token,
-                read_revision=self.replica.revision,
-                machine=machine.name,
-                session=machine.incarnation,
-                sent_with=sent_with,
-                attempts=started,
-            )
-
-    def _log_unknown_tasks(self, owner: ShardOwner, machine: Machine) -> None:
-        """Log the tasks that a machine runs and that no record places there, when they change."""
-        if machine.unknown_tasks.keys() == self._logged_unknown_tasks.get(machine.name, set()):
-            return
-        self._logged_unknown_tasks[machine.name] = set(machine.unknown_tasks)
-        if not machine.unknown_tasks:
-            del self._logged_unknown_tasks[machine.name]
-            return
-        log.info(
-            "tasks without a record reported",
-            shard=owner.shard_id,
-            fencing_token=owner.fencing_token,
-            read_revision=self.replica.revision,
-            machine=machine.name,
-            session=machine.incarnation,
-            attempts=[f"{task}@{attempt}" for task, attempt in machine.unknown_tasks],
-        )
-
-    @staticmethod
-    def _log_tasks(message: wire.HeartbeatMessage, machine: Machine) -> None:
-        for task in message.tasks:
-            log.debug(
-                "task reported",
-                machine=machine.name,
-                task=task.task,
-                attempt=task.attempt,
-                state=task.state,
-                cause=task.cause or "",
-            )
-
     # -- misdirected heartbeats ------------------------------------------------------------------
 
     def _answer_misdirected(self, message: wire.HeartbeatMessage, shard_id: int) -> Answer:
@@ -424,7 +375,7 @@
             """Encode the commands that are permitted now that the connection is open."""
             nonlocal permitted
             permitted = self._permitted(owner, machine, commands, confirmed_at_us)
-            self._log_starts(owner, machine, permitted, "command")
+            self._task_log.log_starts(owner, machine, permitted, "command")
             return wire.encode_commands(owner.fencing_token, permitted, incarnation)
 
         status, body = await self.client.fetch(
@@ -447,7 +398,7 @@
             owner.on_commands_answered(machine, commands)
         if message.fencing_token <= owner.fencing_token:
             owner.on_heartbeat(to_heartbeat(message), self.now_us(), self.wall_us(), direct=True)
-            self._log_unknown_tasks(owner, machine)
+            self._task_log.log_unknown(owner, machine)
             self.request_pass()
             if status == 409 and not commands and message.incarnation != incarnation:
                 machine.next_probe_at_us = 0
