Simulation: copies of direct commands that were carried out and answered, and their meeting

Change: a fault kind command_copies (share and lateness drawn, up to a minute late, nobody waits for the answer) and a meeting of the same name: controllers and a machine that are back within a second, and cancellations.

Nothing of the service is changed.

--- a/measurements/simulation/faults.py
+++ b/measurements/simulation/faults.py
@@ -42,6 +42,7 @@
     "quick_machines": ("all", 20, 60),
     "small_jobs": ("all", 20, 40),
     "slow_links": ("all", 10, 60),
+    "command_copies": ("all", 20, 60),
 }
 # What a seed draws from if it is not told otherwise. It stays as it is, so that a seed stays what it was: the
 # later kinds come with the meetings (``meetings.py``).
@@ -60,9 +61,13 @@
     "quick_machines",
     "small_jobs",
     "slow_links",
+    "command_copies",
 }
 DRAWN = sorted(KINDS.keys() - LATER)
 BACK_S = (0.0, 0.05, 0.2, 0.9, 6.0)
+# Shares of the answered commands of which a copy arrives, and how much later that is at the least and most.
+COMMAND_COPY_SHARES = (0.2, 0.6, 1.0)
+COMMAND_COPY_LATE_S = ((0.3, 3.0), (0.3, 20.0), (0.3, 60.0))
 
 
 class Fault(msgspec.Struct, omit_defaults=True):
@@ -104,6 +109,8 @@
             fault.who = [rng.randrange(1000) for _ in range(rng.choice([1, 1, 2, 4, 8]))]
         elif subject != "all":
             fault.who = [rng.randrange(1000)]
+        if kind == "command_copies":
+            fault.share, fault.late_s = rng.choice(COMMAND_COPY_SHARES), rng.choice(COMMAND_COPY_LATE_S)
         if rng.random() < 0.3:
             fault.step, fault.count = (
                 rng.choice(["part/", "leader", "p/", "h/", "d/", "r/"]),
--- a/measurements/simulation/meetings.py
+++ b/measurements/simulation/meetings.py
@@ -9,7 +9,13 @@
 
 import msgspec
 
-from measurements.simulation.faults import BACK_S, KINDS, Fault
+from measurements.simulation.faults import (
+    BACK_S,
+    COMMAND_COPY_LATE_S,
+    COMMAND_COPY_SHARES,
+    KINDS,
+    Fault,
+)
 
 Drawn = Callable[[random.Random, float], list[Fault]]
 # How long a meeting takes at most, from its beginning.
@@ -216,6 +222,27 @@
     ]
 
 
+def _command_copies(rng: random.Random, at_s: float) -> list[Fault]:
+    """Commands that were answered arrive once more; nodes and machines are back at once, users cancel."""
+    at_once_s = [back_s for back_s in BACK_S if back_s < 1]
+    copies = Fault(
+        "command_copies",
+        at_s,
+        50.0,
+        share=rng.choice(COMMAND_COPY_SHARES),
+        late_s=rng.choice(COMMAND_COPY_LATE_S),
+    )
+    return [
+        copies,
+        *(Fault("cancel_now", at_s + rng.uniform(5, 50), count=4) for _ in range(3)),
+        Fault("node_crash", at_s + rng.uniform(5, 25), whom="leader", back_s=rng.choice(at_once_s)),
+        Fault(
+            "node_crash", at_s + rng.uniform(20, 50), who=[rng.randrange(1000)], back_s=rng.choice(at_once_s)
+        ),
+        Fault("machine_reborn", at_s + rng.uniform(20, 50), who=[rng.randrange(1000)]),
+    ]
+
+
 # All controllers are away for longer than the lease of ``BUILT``.
 AWAY_S = 12.0
 
@@ -257,6 +284,7 @@
     "ten_leaders": _ten_leaders,
     "bound": _bound,
     "sessions_over": lambda rng, at_s: sessions_over(at_s),
+    "command_copies": _command_copies,
 }
 # What is built differently for a meeting (``Setup``).
 BUILT: dict[str, dict[str, object]] = {
--- a/measurements/simulation/net.py
+++ b/measurements/simulation/net.py
@@ -62,6 +62,8 @@
         self.broken: set[tuple[str, str]] = set()
         # Told of each request that arrives: source host, address, method, path, body, and the delivery.
         self.taps: list[Callable[[str, str, str, str, bytes], None]] = []
+        # Told of each request whose answer its sender got: source host, address, method, path, body, status.
+        self.answered: list[Callable[[str, str, str, str, bytes, int], None]] = []
         # Told of each body with commands that leaves for a worker, in whatever message.
         self.commands: list[Callable[[bytes], None]] = []
         self.delivered = 0
@@ -139,6 +141,8 @@
                 self._send(there, lambda: self._arrive(src, addr, method, path, content, answer))
                 found = await answer
                 self.broken.discard(there)
+                for tell in self.answered:
+                    tell(src, addr, method, path, content, found[0])
                 return found
         except TimeoutError:
             self.broken.add(there)
--- a/measurements/simulation/troubles.py
+++ b/measurements/simulation/troubles.py
@@ -13,7 +13,7 @@
 from measurements.simulation.users import odd_requests
 from measurements.simulation.worker import SimWorker
 from pearstep.protocol.agent_messages import decode_heartbeat_answer
-from pearstep.protocol.controller_messages import HEARTBEAT_PATH, OPERATION_TO_WIRE
+from pearstep.protocol.controller_messages import COMMANDS_PATH, HEARTBEAT_PATH, OPERATION_TO_WIRE
 from pearstep.state.records import LeaseHolderRecord, PlacementRecord
 
 # Reports that were on their way when a machine was deleted may still be taken for news so much later.
@@ -32,7 +32,9 @@
     def __init__(self, setup: Setup, loop: VirtualLoop) -> None:
         super().__init__(setup, loop)
         self.copying: list[Fault] = []
+        self.copying_commands: list[Fault] = []
         self.copied = 0
+        self.net.answered.append(self._copy_command)
         self.net.taps += [self._copy, self._keep_report]
         self.net.commands.append(self._commanded)
         # Reports that are kept until another node leads: who sent them, and what.
@@ -92,6 +94,14 @@
                 self.copied += 1
                 self.net.copy(src, to, method, path, body, self.net.rng.uniform(*fault.late_s))
 
+    def _copy_command(self, src: str, addr: str, method: str, path: str, body: bytes, status: int) -> None:
+        if path != COMMANDS_PATH or status != 200:
+            return
+        for fault in self.copying_commands:
+            if self.net.rng.random() < fault.share:
+                self.copied += 1
+                self.net.copy(src, addr, method, path, body, self.net.rng.uniform(*fault.late_s))
+
     def _workers(self, fault: Fault) -> list[SimWorker]:
         names = sorted(self.world.machines)
         return (
@@ -379,6 +389,11 @@
         self.copying.append(fault)
         return lambda: self.copying.remove(fault)
 
+    def _command_copies(self, fault: Fault) -> Callable[[], None]:
+        """Direct commands that were carried out and answered arrive once more."""
+        self.copying_commands.append(fault)
+        return lambda: self.copying_commands.remove(fault)
+
     def _spot_taken(self, fault: Fault) -> None:
         for worker in self._workers(fault):
             if worker.spot:
--- a/tests/agent_link.py
+++ b/tests/agent_link.py
@@ -45,7 +45,15 @@
         self.begin_life()
         self.owners = {0: self.world.owner}
         self.gateway = AgentGateway(
-            self, self.world.replica, self.owners, NODE, 1, [], self.now, self.now, lambda: None
+            self,  # type: ignore[arg-type]
+            self.world.replica,
+            self.owners,
+            NODE,
+            1,
+            [],
+            self.now,
+            self.now,
+            lambda: None,
         )
         self.heartbeat()
         self.commit()
