Forget an attempt only under a token above every token of its direct starts

Cause: an idempotence guard was removed while the right of the message that it guards against still stood. The worker's memory of an attempt makes a repeated start harmless (PROTOCOL, "Workers"). The owner told it to forget the attempt under the very token under which the start had been sent, so the machine still took a copy of that start.

Change: an owner raises a machine's token to the revision of its latest commit before it lets the machine forget an attempt that it started directly (shard/command_tokens.py). Every commit is conditional on the version of the shard's key, so its revision is above the owner's claim and below that of every later owner: the order of tokens among owners stays, nothing new is stored, nothing more is written. The forget and the raised token are in one answer, so the worker is never without both guards. A direct command that such an answer overtakes is refused and sent again. Whoever compares tokens knows raised ones: the owner (only what is above its latest commit is a later owner's), and other controllers (a token up to the revision that they have read is of the holder that they know).

Why it works: a worker refuses commands under a token below the highest it has seen, whoever sends them and however late.

Stand-ins of an owner in test_golden_agents and test_neighbours have the new methods; no check and no golden file changed.

--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -155,7 +155,7 @@
             return _unavailable("not certain what is owned here")
         shard_id = layout.shard_of(message.machine, message.zone)
         owner = self.owners.get(shard_id)
-        if owner is not None and message.fencing_token > owner.fencing_token:
+        if owner is not None and owner.is_of_later_owner(message.fencing_token):
             self._on_later_token(message, shard_id, owner)
             owner = None
         if owner is None:
@@ -222,7 +222,7 @@
         owner.on_heartbeat_answered(machine, self.now_us())
         if owner.pass_due or owner.pending_writes:
             self.request_pass()
-        return 200, wire.encode_commands(owner.fencing_token, commands), {}
+        return 200, wire.encode_commands(owner.token_for(machine), commands), {}
 
     # -- misdirected heartbeats ------------------------------------------------------------------
 
@@ -231,11 +231,11 @@
         now = self.now_us()
         first_us = self._record_misdirected(message, shard_id, now)
         holder = self.replica.shard_holders.get(shard_id)
-        if holder is not None and message.fencing_token > holder.fencing_token:
-            # The agent has the token of a later holder than this node's replica shows, and keeps trying nodes
-            # until it reaches that holder. Seen: two nodes without contact to the state service and to each
-            # other redirected agents to one another by their outdated replicas, and the agents alternated
-            # between them until their leases expired (510 tasks in one run).
+        if holder is not None and message.fencing_token > max(holder.fencing_token, self.replica.revision):
+            # The agent may have the token of a later holder than this node's replica shows, and keeps trying
+            # nodes until it reaches that holder. Seen: two nodes without contact to the state service and to
+            # each other redirected agents to one another by their outdated replicas, and the agents
+            # alternated between them until their leases expired (510 tasks in one run).
             return _unavailable("the part's holder is not known here")
         misdirected_for_us = now - first_us
         if holder is not None and holder.node not in ("", self.node):
@@ -245,7 +245,7 @@
             # tasks killed by their lease after all controllers had ended). An agent that got no answer from
             # the holder has already waited for it.
             is_new = now - holder.observed_at_us < AGENT_FAILOVER_US
-            has_holder_token = message.fencing_token == holder.fencing_token
+            has_holder_token = message.fencing_token >= holder.fencing_token
             if is_new or not has_holder_token or misdirected_for_us >= self.redirect_us:
                 return _redirect(holder.node)
         # Either the agent had contact with the holder and now gets no answer from it, or the shard has no
@@ -369,14 +369,15 @@
         """Send commands to one machine, whose answer has the form of a heartbeat."""
         owner.on_commands_sent(machine, commands, self.now_us())
         incarnation = machine.incarnation
-        permitted = commands
+        permitted, token = commands, 0
 
         def encode() -> bytes:
             """Encode the commands that are permitted now that the connection is open."""
-            nonlocal permitted
+            nonlocal permitted, token
             permitted = self._permitted(owner, machine, commands, confirmed_at_us)
+            token = owner.record_starts(machine, permitted)
             self._task_log.log_starts(owner, machine, permitted, "command")
-            return wire.encode_commands(owner.fencing_token, permitted, incarnation)
+            return wire.encode_commands(token, permitted, incarnation)
 
         status, body = await self.client.fetch(
             machine.address, "POST", wire.COMMANDS_PATH, encode, COMMAND_TIMEOUT_S
@@ -396,9 +397,12 @@
             return
         if machine.incarnation == incarnation:
             owner.on_commands_answered(machine, commands)
-        if message.fencing_token <= owner.fencing_token:
+        if not owner.is_of_later_owner(message.fencing_token):
             owner.on_heartbeat(to_heartbeat(message), self.now_us(), self.wall_us(), direct=True)
             self._task_log.log_unknown(owner, machine)
             self.request_pass()
             if status == 409 and not commands and message.incarnation != incarnation:
                 machine.next_probe_at_us = 0
+            elif status == 409 and commands and token < message.fencing_token:
+                # A heartbeat's answer with a raised token overtook these commands.
+                self.send_commands(owner, ShardActions({machine.name: commands}), confirmed_at_us)
--- a/pearstep/controller/shard_loop.py
+++ b/pearstep/controller/shard_loop.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 from collections.abc import Callable
+from functools import partial
 
 from pearstep.controller.agent_gateway import AgentGateway
 from pearstep.controller.cloud_client import CloudClient
@@ -156,7 +157,7 @@
             self.replica,
             f"part/{owner.shard_id}",
             owner.fencing_token,
-            self.follower.apply_own_commit,
+            partial(self._on_fence_written, owner),
             self.follower.read_barrier,
         )
         try:
@@ -165,6 +166,11 @@
         finally:
             self._committing.discard(owner.shard_id)
 
+    def _on_fence_written(self, owner: ShardOwner, key: str, revision: int, value: object) -> None:
+        """Apply a write of the owner's fence, which is conditional on the shard's key."""
+        owner.confirm_ownership(revision)
+        self.follower.apply_own_commit(key, revision, value)
+
     async def _commit_group(self, owner: ShardOwner, fence: WriteFence) -> bool:
         """Commit one group of writes; return whether to continue with the next."""
         if not owner.has_writes(now_us()):
--- a/pearstep/shard/group_commit.py
+++ b/pearstep/shard/group_commit.py
@@ -343,6 +343,7 @@
 
     def on_committed(self, batch: GroupCommit, revision: int, actions: ShardActions) -> None:
         """Apply the effects of a committed group commit, and send the start commands that it permits."""
+        self.state.tokens.confirm(revision)
         for draft in batch.drafts:
             draft.in_flight = False
             draft.dirty |= draft.key in batch.partial_keys
--- a/pearstep/shard/heartbeats.py
+++ b/pearstep/shard/heartbeats.py
@@ -131,12 +131,13 @@
         machine.incarnation = heartbeat.incarnation
         machine.tasks_to_forget.clear()
         machine.unanswered_starts.clear()
+        machine.start_tokens.clear()
         machine.unknown_tasks.clear()
 
     def _update_token(self, machine: Machine, heartbeat: Heartbeat, now_us: int) -> None:
         """Note whether the machine has our token; if so, write its record if that is missing or outdated."""
         state = self.state
-        if heartbeat.fencing_token == state.fencing_token and not machine.token_acknowledged:
+        if state.tokens.acknowledge(machine, heartbeat.fencing_token) and not machine.token_acknowledged:
             machine.token_acknowledged = True
             # The previous owner can no longer answer this machine; its last answer was not later than now.
             machine.lease_renewed_at_us = now_us
@@ -207,6 +208,11 @@
         if unknown_tasks.keys() != machine.unknown_tasks.keys():
             self.state.pass_due = True
         machine.unknown_tasks = unknown_tasks
+        machine.start_tokens = {
+            key: token
+            for key, token in machine.start_tokens.items()
+            if key in reported or key in attempts or key in machine.unanswered_starts
+        }
         return reported
 
     def _record_images(self, machine: Machine, now_us: int) -> None:
@@ -251,7 +257,7 @@
             machine.heartbeat_answered_at_us = now_us
 
     def commands_for(self, machine: Machine, starts: bool = True) -> list[Command]:
-        """Return the commands for the answer to a heartbeat.
+        """Return the commands for the answer to a heartbeat; raise its token if a task is to be forgotten.
 
         Args:
             machine: The machine that reported.
@@ -266,7 +272,8 @@
         for name, number in machine.unknown_tasks:
             commands.append(Command(_STOP, name, number, 0.0))
         for key in machine.tasks_to_forget:
-            if key not in machine.unanswered_starts:
+            # A worker that has forgotten an attempt would execute a copy of its start.
+            if key not in machine.unanswered_starts and self.state.tokens.outdate_start(machine, key):
                 commands.append(Command(_FORGET, *key))
         return commands
 
@@ -305,13 +312,13 @@
     def on_commands_sent(self, machine: Machine, commands: list[Command], now_us: int) -> None:
         """Note that direct commands were sent."""
         machine.command_sent_at_us = now_us
-        machine.unanswered_starts.update(_started_attempts(commands))
+        machine.unanswered_starts.update(started_attempts(commands))
 
     def on_commands_answered(self, machine: Machine, commands: list[Command]) -> None:
         """Note that the worker has executed direct commands, or will certainly not execute them."""
-        machine.unanswered_starts.difference_update(_started_attempts(commands))
+        machine.unanswered_starts.difference_update(started_attempts(commands))
 
 
-def _started_attempts(commands: list[Command]) -> list[TaskKey]:
+def started_attempts(commands: list[Command]) -> list[TaskKey]:
     """Return the attempts that the commands start."""
     return [(command.task, command.attempt) for command in commands if command.action == _START]
--- a/pearstep/shard/machine.py
+++ b/pearstep/shard/machine.py
@@ -93,6 +93,8 @@
         tasks_to_forget: Ended tasks whose end is recorded, which the worker may forget.
         unrecorded_ends: Ended tasks whose end is not recorded yet.
         unanswered_starts: Tasks whose direct start command has not been answered.
+        raised_token: The token that messages to it carry if that is higher than the shard's; otherwise 0.
+        start_tokens: Tokens of the direct starts that were sent to it, by task, until it forgets the task.
         unknown_tasks: Tasks that it reports but that have no attempt here, with their jobs if these exist.
         images: Sizes in GB of the images that it has fetched, by image, the least recently used first.
         reclaim_at_us: When the cloud reclaims it; None without a reclaim notice.
@@ -121,10 +123,12 @@
         "name",
         "next_delete_at_us",
         "next_probe_at_us",
+        "raised_token",
         "reclaim_at_us",
         "sequence",
         "silence_excused_at_us",
         "spot",
+        "start_tokens",
         "state",
         "tasks_to_forget",
         "token_acknowledged",
@@ -160,6 +164,8 @@
         self.tasks_to_forget: set[TaskKey] = set()
         self.unrecorded_ends: set[TaskKey] = set()
         self.unanswered_starts: set[TaskKey] = set()
+        self.raised_token = 0
+        self.start_tokens: dict[TaskKey, int] = {}
         self.unknown_tasks: dict[TaskKey, JobSpec | None] = {}
         self.images: OrderedDict[str, float] = OrderedDict()
         self.reclaim_at_us: int | None = None
--- a/pearstep/shard/owner.py
+++ b/pearstep/shard/owner.py
@@ -22,7 +22,7 @@
     parse_task_name,
 )
 from pearstep.shard.group_commit import GroupCommitter
-from pearstep.shard.heartbeats import HeartbeatHandler
+from pearstep.shard.heartbeats import HeartbeatHandler, started_attempts
 from pearstep.shard.machine import Machine
 from pearstep.shard.machine_lifecycle import MachineLifecycle
 from pearstep.shard.placement_drafts import GroupCommit
@@ -128,6 +128,22 @@
         is_placed = (start.task, start.attempt) in machine.attempts
         return is_placed and not self.state.is_cancelled(parse_task_name(start.task)[0])
 
+    def is_of_later_owner(self, token: int) -> bool:
+        """Tell whether a machine can have this token only from a later owner of the shard."""
+        return self.state.tokens.is_of_later_owner(token)
+
+    def token_for(self, machine: Machine) -> int:
+        """Return the fencing token for the next message to a machine."""
+        return self.state.tokens.token_for(machine)
+
+    def confirm_ownership(self, revision: int) -> None:
+        """Note that a transaction conditional on the shard's key was applied at a revision."""
+        self.state.tokens.confirm(revision)
+
+    def record_starts(self, machine: Machine, commands: list[Command]) -> int:
+        """Note the starts of a direct command that is sent now; return the token to send it under."""
+        return self.state.tokens.record_starts(machine, started_attempts(commands))
+
     def on_commands_sent(self, machine: Machine, commands: list[Command], now_us: int) -> None:
         """Note that direct commands were sent."""
         self.heartbeats.on_commands_sent(machine, commands, now_us)
--- a/pearstep/shard/shard_state.py
+++ b/pearstep/shard/shard_state.py
@@ -13,6 +13,7 @@
 from pearstep.scheduling.adaptive_delay import AdaptiveDelay
 from pearstep.scheduling.backfill import BackfillScheduler
 from pearstep.scheduling.fault_attribution import FaultAttribution
+from pearstep.shard.command_tokens import CommandTokens
 from pearstep.shard.commands import (
     IMMEDIATE_DRAIN_REASONS,
     Command,
@@ -44,6 +45,7 @@
     Attributes:
         shard_id: Number of the shard.
         fencing_token: Version of the shard's key in the state service.
+        tokens: The tokens for messages to the machines.
         replica: This node's replica of the committed records.
         machine_types: Types of machines by name.
         config: The owner's settings.
@@ -75,6 +77,7 @@
         """Restore the shard from the records of ``replica``."""
         self.shard_id = shard_id
         self.fencing_token = fencing_token
+        self.tokens = CommandTokens(fencing_token)
         self.replica = replica
         self.machine_types = machine_types
         self.config = config
--- a/tests/agent_link.py
+++ b/tests/agent_link.py
@@ -8,6 +8,7 @@
 import asyncio
 import inspect
 import random
+from collections.abc import Callable
 from types import SimpleNamespace
 
 from pearstep.controller.agent_gateway import AgentGateway
@@ -35,6 +36,7 @@
         running: The attempts that run on the machine.
         starts: The attempts that began to run, in order.
         commands: The direct commands that were sent to the agent, as encoded.
+        answers: The agent's answers to them, as status and body.
     """
 
     def __init__(self) -> None:
@@ -42,6 +44,9 @@
         self.running: set[TaskKey] = set()
         self.starts: list[TaskKey] = []
         self.commands: list[bytes] = []
+        self.answers: list[tuple[int, bytes]] = []
+        # Called once, after a direct command has left and before it arrives.
+        self.before_delivery: Callable[[], None] | None = None
         self.begin_life()
         self.owners = {0: self.world.owner}
         self.gateway = AgentGateway(
@@ -76,7 +81,11 @@
         """Deliver a direct command, as the gateway's HTTP client."""
         content = body() if callable(body) else body
         self.commands.append(content)
-        return self.deliver(content)
+        hook, self.before_delivery = self.before_delivery, None
+        if hook is not None:
+            await asyncio.to_thread(hook)
+        self.answers.append(self.deliver(content))
+        return self.answers[-1]
 
     def deliver(self, content: bytes) -> tuple[int, bytes]:
         """Let a direct command arrive, also once more; return the agent's answer."""
--- a/tests/test_golden_agents.py
+++ b/tests/test_golden_agents.py
@@ -187,6 +187,12 @@
     def __init__(self, machine):
         self.machine = machine
 
+    def is_of_later_owner(self, token):
+        return token > self.fencing_token
+
+    def token_for(self, machine):
+        return self.fencing_token
+
     def on_heartbeat(self, heartbeat, now_us, wall_us):
         return self.machine
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -215,7 +215,9 @@
 def test_owner_that_receives_a_later_token_gives_up_the_shard():
     # The agent would drop an answer with the older token, and stay with this node until its lease expires.
     agent = MisdirectedAgent()
-    agent.gateway.owners[0] = owner = SimpleNamespace(fencing_token=5)
+    agent.gateway.owners[0] = owner = SimpleNamespace(
+        fencing_token=5, is_of_later_owner=lambda token: token > 5
+    )
     # While the state service is available, it decides: the agent's token may be of a rolled-back state.
     assert agent.heartbeat(9) == (503, None)
     assert agent.gateway.owners == {0: owner}
