Log each forget with its token and revision, and the tokens of starts and of unknown tasks

Change: `forgets sent` with machine, session, token and the revision that recorded each end; `token` in `starts sent`; in `tasks without a record reported` the owner's token, the machine's, and those of the direct starts that the owner still knows of.

Result: test_log_tells_under_which_token_an_attempt_was_started_and_forgotten; behaviour unchanged.

--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -219,6 +219,7 @@
         starts = not self.kv_unavailable() and self.start_permission.is_granted()
         commands = owner.commands_for(machine, starts=starts)[:MAX_COMMANDS_PER_MESSAGE]
         self._task_log.log_starts(owner, machine, commands, "heartbeat")
+        self._task_log.log_forgets(owner, machine, commands)
         owner.on_heartbeat_answered(machine, self.now_us())
         if owner.pass_due or owner.pending_writes:
             self.request_pass()
--- a/pearstep/controller/task_log.py
+++ b/pearstep/controller/task_log.py
@@ -52,7 +52,18 @@
             if command.action == CommandAction.START
         ]
         if started:
-            self._log_attempts("starts sent", owner, machine, started, sent_with=sent_with)
+            token = owner.token_for(machine)
+            self._log_attempts("starts sent", owner, machine, started, token=token, sent_with=sent_with)
+
+    def log_forgets(self, owner: ShardOwner, machine: Machine, commands: list[Command]) -> None:
+        """Log commands to forget attempts, each with the revision that recorded its end (0: unknown)."""
+        forgotten = []
+        for command in commands:
+            if command.action == CommandAction.FORGET:
+                key = (command.task, command.attempt)
+                forgotten.append(f"{_label(key)}:{machine.tasks_to_forget.get(key, 0)}")
+        if forgotten:
+            self._log_attempts("forgets sent", owner, machine, forgotten, token=owner.token_for(machine))
 
     def log_unknown(self, owner: ShardOwner, machine: Machine) -> None:
         """Log the tasks that a machine runs and that no record places there, when they change."""
@@ -63,7 +74,16 @@
             return
         self._unknown_tasks[machine.name] = set(machine.unknown_tasks)
         unknown = [_label(key) for key in machine.unknown_tasks]
-        self._log_attempts("tasks without a record reported", owner, machine, unknown)
+        start_tokens = [machine.start_tokens.get(key, 0) for key in machine.unknown_tasks]
+        self._log_attempts(
+            "tasks without a record reported",
+            owner,
+            machine,
+            unknown,
+            token=owner.token_for(machine),
+            reported_token=machine.reported_token,
+            start_tokens=start_tokens,
+        )
 
     def _log_attempts(
         self, event: str, owner: ShardOwner, machine: Machine, attempts: list[str], **fields: object
--- a/pearstep/shard/group_commit.py
+++ b/pearstep/shard/group_commit.py
@@ -362,7 +362,7 @@
                 if key not in machine.attempts:
                     # The forget command is sent with the next heartbeat answer, because nothing waits for
                     # it. Separate messages for each ended task were a third of all messages sent.
-                    machine.tasks_to_forget.add(key)
+                    machine.tasks_to_forget[key] = revision
         for job_id in batch.finished_jobs:
             self.state.jobs_to_finish.pop(job_id, None)
 
--- a/pearstep/shard/heartbeats.py
+++ b/pearstep/shard/heartbeats.py
@@ -137,6 +137,7 @@
     def _update_token(self, machine: Machine, heartbeat: Heartbeat, now_us: int) -> None:
         """Note whether the machine has our token; if so, write its record if that is missing or outdated."""
         state = self.state
+        machine.reported_token = max(machine.reported_token, heartbeat.fencing_token)
         if state.tokens.acknowledge(machine, heartbeat.fencing_token) and not machine.token_acknowledged:
             machine.token_acknowledged = True
             # The previous owner can no longer answer this machine; its last answer was not later than now.
@@ -185,17 +186,19 @@
         reported: set[TaskKey] = set()
         attempts = machine.attempts
         machine_entry = self.state.replica.machines.get(machine.name)
-        machine.tasks_to_forget.intersection_update({(task.name, task.attempt) for task in tasks})
+        recorded_ends, machine.tasks_to_forget = machine.tasks_to_forget, {}
         for task in tasks:
             key = (task.name, task.attempt)
             reported.add(key)
+            if key in recorded_ends:
+                machine.tasks_to_forget[key] = recorded_ends[key]
             attempt = attempts.get(key)
             if attempt is None:
                 if task.state != "exited":
                     job = self.state.replica.jobs.get(parse_task_name(task.name)[0])
                     unknown_tasks[key] = job.spec if job else None
-                elif key not in machine.unrecorded_ends:
-                    machine.tasks_to_forget.add(key)
+                elif key not in machine.unrecorded_ends and key not in recorded_ends:
+                    machine.tasks_to_forget[key] = self.state.end_revision(task.name)
             elif task.state == "exited":
                 cause = task.cause or "error"
                 self.completion.record_end(machine, attempt, EndEvidence.EXITED, now_us, wall_us, cause)
--- a/pearstep/shard/machine.py
+++ b/pearstep/shard/machine.py
@@ -90,9 +90,11 @@
             confirms them.
         attempts: Attempts that may be on it, by task key; none of them is of an earlier session than
             ``incarnation``.
-        tasks_to_forget: Ended tasks whose end is recorded, which the worker may forget.
+        tasks_to_forget: Revisions that recorded the ends of tasks which the worker may forget, by task; 0 if
+            the record is gone.
         unrecorded_ends: Ended tasks whose end is not recorded yet.
         unanswered_starts: Tasks whose direct start command has not been answered.
+        reported_token: The highest token that it has shown in a message to this owner.
         raised_token: The token that messages to it carry if that is higher than the shard's; otherwise 0.
         start_tokens: Tokens of the direct starts that were sent to it, by task, until it forgets the task.
         unknown_tasks: Tasks that it reports but that have no attempt here, with their jobs if these exist.
@@ -125,6 +127,7 @@
         "next_probe_at_us",
         "raised_token",
         "reclaim_at_us",
+        "reported_token",
         "sequence",
         "silence_excused_at_us",
         "spot",
@@ -161,9 +164,10 @@
         self.awaiting_answer = False
         self.unreachable_since_us: int | None = None
         self.attempts: dict[TaskKey, TaskAttempt] = {}
-        self.tasks_to_forget: set[TaskKey] = set()
+        self.tasks_to_forget: dict[TaskKey, int] = {}
         self.unrecorded_ends: set[TaskKey] = set()
         self.unanswered_starts: set[TaskKey] = set()
+        self.reported_token = 0
         self.raised_token = 0
         self.start_tokens: dict[TaskKey, int] = {}
         self.unknown_tasks: dict[TaskKey, JobSpec | None] = {}
--- a/pearstep/shard/shard_state.py
+++ b/pearstep/shard/shard_state.py
@@ -20,6 +20,7 @@
     CommandAction,
     ShardActions,
     ShardOwnerConfig,
+    parse_task_name,
 )
 from pearstep.shard.freed_attempt import EndEvidence, FreedAttempt
 from pearstep.shard.machine import Machine
@@ -191,7 +192,7 @@
             key = (attempt.name, attempt.number)
             machine.attempts[key] = attempt
             machine.unrecorded_ends.discard(key)
-            machine.tasks_to_forget.discard(key)
+            machine.tasks_to_forget.pop(key, None)
         elif attempt.machine in self.deleted_machines or attempt.machine not in self.replica.machines:
             # A machine's record is deleted only after the cloud has confirmed the machine's deletion. The
             # ends of its attempts may be missing if their commit was rejected or the owner failed.
@@ -274,6 +275,14 @@
             return
         self.pending_writes[key] = (DrainRecord(reason, wall_us), {})
 
+    def end_revision(self, task_name: str) -> int:
+        """Return the revision that wrote a task's placement record last; 0 if there is no record."""
+        job_id, task = parse_task_name(task_name)
+        job = self.replica.jobs.get(job_id)
+        chunk = (self.shard_id, task // TASKS_PER_RECORD)
+        committed = job.placements.get(chunk) if job is not None else None
+        return committed.version if committed is not None else 0
+
     def is_cancelled(self, job_id: str) -> bool:
         """Return whether the job is cancelled or has no record any more."""
         job = self.replica.jobs.get(job_id)
--- a/tests/test_command_copies.py
+++ b/tests/test_command_copies.py
@@ -133,6 +133,21 @@
     assert agent.world.owner.machines["m0"].token_acknowledged
 
 
+def test_log_tells_under_which_token_an_attempt_was_started_and_forgotten(caplog):
+    caplog.set_level("INFO", "pearstep.agent_gateway")
+    agent = LinkedAgent()
+    attempt = agent.run_task()
+    start_token = agent.session.token
+    agent.end(attempt, "error")
+    record_end(agent)
+    end_revision = agent.world.ledger.keys["p/0/req-1/0"][1]
+    forget(agent, attempt)
+    lines = [line for line in caplog.messages if "req-1/0@1" in line]
+    assert [line.partition(" shard=")[0] for line in lines] == ["starts sent", "forgets sent"]
+    assert f" token={start_token} sent_with=command attempts=req-1/0@1" in lines[0]
+    assert f" token={end_revision} attempts=req-1/0@1:{end_revision}" in lines[1]
+
+
 class CopyingAgent(LinkedAgent):
     """An agent with a job of one task, whose direct commands may arrive once more at any step."""
 
--- a/tests/test_golden_agents.py
+++ b/tests/test_golden_agents.py
@@ -203,7 +203,7 @@
         pass
 
 
-STUB_MACHINE = SimpleNamespace(name="i-1", incarnation=4, unknown_tasks={})
+STUB_MACHINE = SimpleNamespace(name="i-1", incarnation=4, unknown_tasks={}, tasks_to_forget={})
 LAYOUT_RECORDS = [("layout", 1, ShardLayoutRecord(["north", "south"])), ("e/part/0", 2, WriteFenceRecord())]
 
 
