Take a heartbeat with a token below one that the machine has shown for an old one

Cause: a message was ordered by session and sequence number alone, which a restarted machine counts anew. So a copy from before, with larger numbers, was taken for the machine's newest message, and what it does not list for ended. Its token says that it is older: a worker keeps the highest token it has seen.

The test fails on the commit before in both cases (`[]` instead of the attempt), with a copy of the same session and of a later one.

Change: the owner takes a message whose token is lower than one that the machine has shown to it for late, as it does with smaller numbers. Within one life of a worker nothing changes: a lower token there comes with smaller numbers.

Why it works: a new owner's token is above all before it, and it ends nothing because a task is missing from a heartbeat until the machine has shown that token. From then on no message from a former life can show one as high. Open: before that, a copy with a later session still ends the attempts of earlier sessions, which a restarted machine may be running under their old number.

--- a/pearstep/shard/heartbeats.py
+++ b/pearstep/shard/heartbeats.py
@@ -69,8 +69,8 @@
             return None
         if direct:
             machine.last_received_us = max(machine.last_received_us, machine.command_sent_at_us)
-        if (heartbeat.incarnation, heartbeat.sequence) <= (machine.incarnation, machine.sequence):
-            return machine  # a late message: its task list is out of date
+        if _is_outdated(machine, heartbeat):
+            return machine
         if not direct:
             if heartbeat.incarnation == machine.incarnation and heartbeat.sequence == machine.sequence + 1:
                 machine.last_received_us = max(machine.last_received_us, machine.heartbeat_answered_at_us)
@@ -322,6 +322,15 @@
         machine.unanswered_starts.difference_update(started_attempts(commands))
 
 
+def _is_outdated(machine: Machine, heartbeat: Heartbeat) -> bool:
+    """Return whether a message was sent before the latest one of the machine, so that its task list is old.
+
+    A worker's token never falls, whereas a worker that is restarted may count its sessions and messages anew.
+    """
+    is_late = (heartbeat.incarnation, heartbeat.sequence) <= (machine.incarnation, machine.sequence)
+    return is_late or heartbeat.fencing_token < machine.reported_token
+
+
 def started_attempts(commands: list[Command]) -> list[TaskKey]:
     """Return the attempts that the commands start."""
     return [(command.task, command.attempt) for command in commands if command.action == _START]
--- a/tests/test_heartbeat_confirmation.py
+++ b/tests/test_heartbeat_confirmation.py
@@ -1,5 +1,6 @@
 """Confirmation of messages by machines: late copies of heartbeats, and answers that do not arrive."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -153,6 +154,23 @@
     assert "m9" in world.replica.machines
 
 
+@pytest.mark.parametrize("session", [1, 2])
+def test_copy_from_before_a_machine_restarted_does_not_end_what_it_runs_now(session):
+    world = ShardHarness()
+    former_token = world.owner.fencing_token
+    send_heartbeat(world, "m0", 30, session=session)
+    world.take_over()
+    # The machine is back with nothing on it, and counts from the start.
+    send_heartbeat(world, "m0", 1, token=0)
+    send_heartbeat(world, "m0", 2)
+    world.run_and_commit()
+    world.submit(spec(tasks=1))
+    ((_, task, attempt),) = world.starts(world.run_and_commit())
+    send_heartbeat(world, "m0", 3, (task, attempt, "running"))
+    send_heartbeat(world, "m0", 30, token=former_token, session=session)
+    assert list(world.owner.machines["m0"].attempts) == [(task, attempt)]
+
+
 messages = st.lists(
     st.one_of(
         st.tuples(st.just("report"), st.booleans()),
