--- a/pearstep/emulator/cloud.py
+++ b/pearstep/emulator/cloud.py
@@ -41,6 +41,8 @@
 MAX_INSTANCES_PER_REQUEST = 50
 # Ports of instances: below the range of outgoing connections on every common system.
 PORT_RANGE = (20_000, 32_000)
+# Independent of the generator that simulations seed.
+_PORT_DRAWS = random.SystemRandom()
 
 
 class MachineKind(msgspec.Struct, forbid_unknown_fields=True, rename={"max_instances": "most"}):
@@ -319,9 +321,10 @@
     """Return a free port of the loopback interface, from below the range of outgoing connections.
 
     Seen: an outgoing connection took a port of that range between this check and its use, and a test failed.
+    Two suites that seeded the shared generator alike drew the same ports at the same moment.
     """
     while True:
-        port = random.randrange(*PORT_RANGE)
+        port = _PORT_DRAWS.randrange(*PORT_RANGE)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
