Agent gateway: direct commands in a module of their own

Cause: agent_gateway.py had grown to 426 lines and did three jobs.

The gateway keeps heartbeats; send_commands and start_permission stay its interface. Behaviour unchanged.

--- a/pearstep/controller/agent_gateway.py
+++ b/pearstep/controller/agent_gateway.py
@@ -1,4 +1,4 @@
-"""Answer heartbeats of machine agents, and send direct commands to agents."""
+"""Answer heartbeats of machine agents."""
 
 from __future__ import annotations
 
@@ -10,31 +10,32 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from pearstep.controller.start_permission import unrestricted_start_permission
+from pearstep.controller.direct_commands import (
+    MAX_COMMANDS_PER_MESSAGE,
+    DirectCommandSender,
+    to_heartbeat,
+)
+from pearstep.controller.start_permission import StartPermission
 from pearstep.controller.task_log import TaskLog
 from pearstep.domain.units import SECOND_US
-from pearstep.failure_detection.staleness import NEVER_US
 from pearstep.failure_detection.timeouts import AGENT_FAILOVER_US
 from pearstep.protocol import controller_messages as wire
-from pearstep.shard.commands import Command, CommandAction, Heartbeat, ShardActions, TaskStatus
+from pearstep.shard.commands import CommandAction
 from pearstep.shard.machine import Machine
 from pearstep.shard.owner import ShardOwner
 from pearstep.state.records import ShardLayoutRecord
 from pearstep.state.replica import Replica
 from pearstep.state.shard_layout import ShardLayout
-from pearstep.transport.background_tasks import BackgroundTasks
 from pearstep.transport.event_log import EventLogger
 from pearstep.transport.http import Answer, Client
 
 log = EventLogger("pearstep.agent_gateway")
 
-MAX_COMMANDS_PER_MESSAGE = 400
 # Misdirected heartbeats of a machine belong to one series if the gaps between them are no longer than this.
 MISDIRECTED_SERIES_US = 6 * SECOND_US
 # How many agents with misdirected heartbeats are probed. The timeout is short enough for the result to reach
 # the peer that queries this controller.
 PROBED_AGENTS, PROBE_TIMEOUT_S = 3, 0.6
-COMMAND_TIMEOUT_S = 4.0
 # The Retry-After header of a 503 answer to an agent, in seconds.
 RETRY_AFTER_S = "1"
 
@@ -51,26 +52,6 @@
     address: str
 
 
-def to_heartbeat(message: wire.HeartbeatMessage) -> Heartbeat:
-    """Convert a heartbeat message to the domain type; seconds become microseconds."""
-    notice_s = message.notice_s
-    return Heartbeat(
-        message.machine,
-        message.address,
-        message.type,
-        message.zone,
-        message.spot,
-        message.incarnation,
-        message.sequence,
-        message.fencing_token,
-        None if notice_s is None else int(max(notice_s, 0) * SECOND_US),
-        [
-            TaskStatus(task.task, task.attempt, task.state, task.cause, bool(task.saved))
-            for task in message.tasks
-        ],
-    )
-
-
 def _unavailable(reason: str) -> Answer:
     """Build a 503 answer: the agent should retry here or at another controller."""
     return 503, wire.encode_error(reason), {"Retry-After": RETRY_AFTER_S}
@@ -80,10 +61,6 @@
     return 421, wire.encode_redirect(node), {}
 
 
-def _without_starts(commands: list[Command]) -> list[Command]:
-    return [command for command in commands if command.action != CommandAction.START]
-
-
 class AgentGateway:
     """Passes heartbeats to the owner of the machine's shard, and the owner's commands to the machine."""
 
@@ -130,13 +107,21 @@
         self.may_act: Callable[[], bool] = lambda: True
         # Whether the state service is unavailable to this node, which may then have missed a failover.
         self.kv_unavailable: Callable[[], bool] = lambda: False
-        # Whether start commands may be sent; the controller replaces it if there are other controllers.
-        self.start_permission = unrestricted_start_permission()
         # Machines that sent heartbeats here although another node owns their shard. They show an owner that
         # it has lost contact with its agents, rather than the agents with all nodes.
         self.misdirected: dict[str, MisdirectedHeartbeat] = {}
         self._task_log = TaskLog(replica)
-        self._tasks = BackgroundTasks(log)
+        self._direct = DirectCommandSender(client, owners, self._task_log, now_us, wall_us, request_pass)
+        self.send_commands = self._direct.send
+
+    @property
+    def start_permission(self) -> StartPermission:
+        """Whether start commands may be sent; the controller replaces it if there are other controllers."""
+        return self._direct.start_permission
+
+    @start_permission.setter
+    def start_permission(self, permission: StartPermission) -> None:
+        self._direct.start_permission = permission
 
     # -- heartbeats ------------------------------------------------------------------------------
 
@@ -327,83 +312,3 @@
             )
         )
         return 2 * sum(status == 200 for status, _ in answers) > len(addresses)
-
-    # -- commands --------------------------------------------------------------------------------
-
-    def send_commands(
-        self, owner: ShardOwner, actions: ShardActions, confirmed_at_us: int = NEVER_US
-    ) -> None:
-        """Send direct commands to machines, with one request for each machine.
-
-        Start commands that are not permitted now are left out; they go with the next heartbeat answers.
-
-        Args:
-            owner: The owner that requests the commands.
-            actions: The commands.
-            confirmed_at_us: See ``StartPermission.is_granted``.
-        """
-        for name, requested in actions.commands.items():
-            machine = owner.machines.get(name)
-            if machine is None:
-                continue
-            commands = self._permitted(owner, machine, requested, confirmed_at_us)
-            if commands or not requested:
-                self._tasks.start(
-                    self._send(owner, machine, commands[:MAX_COMMANDS_PER_MESSAGE], confirmed_at_us)
-                )
-
-    def _permitted(
-        self, owner: ShardOwner, machine: Machine, commands: list[Command], confirmed_at_us: int
-    ) -> list[Command]:
-        """Return the commands without starts that may not be sent now."""
-        if not self.start_permission.is_granted(confirmed_at_us):
-            return _without_starts(commands)
-        return [
-            command
-            for command in commands
-            if command.action != CommandAction.START or owner.allows_start(machine, command)
-        ]
-
-    async def _send(
-        self, owner: ShardOwner, machine: Machine, commands: list[Command], confirmed_at_us: int
-    ) -> None:
-        """Send commands to one machine, whose answer has the form of a heartbeat."""
-        owner.on_commands_sent(machine, commands, self.now_us())
-        incarnation = machine.incarnation
-        permitted, token = commands, 0
-
-        def encode() -> bytes:
-            """Encode the commands that are permitted now that the connection is open."""
-            nonlocal permitted, token
-            permitted = self._permitted(owner, machine, commands, confirmed_at_us)
-            token = owner.record_starts(machine, permitted)
-            self._task_log.log_starts(owner, machine, permitted, "command")
-            return wire.encode_commands(token, permitted, incarnation)
-
-        status, body = await self.client.fetch(
-            machine.address, "POST", wire.COMMANDS_PATH, encode, COMMAND_TIMEOUT_S
-        )
-        if machine.incarnation == incarnation:
-            withheld = [command for command in commands if command not in permitted]
-            owner.on_commands_answered(machine, withheld)
-        # 409: the machine has another incarnation than the commands name, or has a later fencing token.
-        if status not in (200, 409):
-            return
-        try:
-            message = wire.decode_heartbeat(body)
-        except wire.MalformedMessageError as err:
-            log.error("command answer malformed", machine=machine.name, cause=err)
-            return
-        if self.owners.get(owner.shard_id) is not owner or message.machine != machine.name:
-            return
-        if machine.incarnation == incarnation:
-            owner.on_commands_answered(machine, commands)
-        if not owner.is_of_later_owner(message.fencing_token):
-            owner.on_heartbeat(to_heartbeat(message), self.now_us(), self.wall_us(), direct=True)
-            self._task_log.log_unknown(owner, machine)
-            self.request_pass()
-            if status == 409 and not commands and message.incarnation != incarnation:
-                machine.next_probe_at_us = 0
-            elif status == 409 and commands and token < message.fencing_token:
-                # A heartbeat's answer with a raised token overtook these commands.
-                self.send_commands(owner, ShardActions({machine.name: commands}), confirmed_at_us)
