--- a/measurements/simulation/meetings.py
+++ b/measurements/simulation/meetings.py
@@ -293,6 +293,7 @@
     "limits": {"most_cpus": (44.0, 44.0), "load": 0.12, "kinds": (5, 3, 0), "more_s": 150.0},
     "bound": {"bound": 0.7, "more_s": 200.0},
     "quick_machines": {"more_s": 200.0},
+    "command_copies": {"more_s": 200.0},
     "sessions_over": {
         "nodes": 5,
         "zones": 2,
