Tests: what the records place stands once

Cause: test_sessions and test_command_copies computed it alike. Change: ShardHarness.placed_attempts.

--- a/tests/test_command_copies.py
+++ b/tests/test_command_copies.py
@@ -187,16 +187,6 @@
         self.world.commit()
         self.send(ShardActions())
 
-    def attempts_without_a_record(self):
-        """Return what runs although no record places it here."""
-        placements = self.world.replica.jobs["req-1"].placements.values()
-        placed = {
-            (f"req-1/{task}", placement.attempt)
-            for chunk in placements
-            for task, placement in chunk.record.placements.items()
-        }
-        return self.running - placed
-
 
 EVENTS = ["heartbeat", "heartbeat", "commit", "commit", "end_task", "deliver_copies", "take_over"]
 EVENTS += ["heartbeat_without_answer", "commit_without_answer", "commit_with_starts_in_answers"]
@@ -208,7 +198,7 @@
     agent = CopyingAgent()
     for event in events:
         getattr(agent, event)()
-        if agent.attempts_without_a_record():
+        if agent.running - agent.world.placed_attempts():
             return True
     return False
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -117,13 +117,7 @@
 
     def tasks_without_a_record(self):
         """Return what runs although no record places it here."""
-        placements = self.world.replica.jobs["req-1"].placements.values()
-        placed = {
-            (f"req-1/{task}", placement.attempt)
-            for chunk in placements
-            for task, placement in chunk.record.placements.items()
-        }
-        return self.running - placed
+        return self.running - self.world.placed_attempts()
 
 
 EVENTS = ["heartbeat", "heartbeat_without_answer", "lose_lease", "take_over"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -260,6 +260,14 @@
         (start,) = self.starts(self.run_and_commit())
         return start
 
+    def placed_attempts(self, job_id: str = "req-1") -> set[tuple[str, int]]:
+        """Return the task and attempt of each placement that the records of a job have."""
+        return {
+            (f"{job_id}/{task}", placement.attempt)
+            for chunk in self.replica.jobs[job_id].placements.values()
+            for task, placement in chunk.record.placements.items()
+        }
+
     def starts(self, actions: ShardActions) -> set[tuple[str, str, int]]:
         """Return the machine, task and attempt of each start command."""
         return {
