--- a/measurements/mixed_versions.py
+++ b/measurements/mixed_versions.py
@@ -36,9 +36,8 @@
 ORDERS = ("forward", "back")
 
 
-def load_before(checkout: str) -> None:
-    """Make the package of a checkout importable under its other name."""
-    folder = Path(tempfile.mkdtemp(prefix="mixed-versions-"))
+def copy_before(checkout: str, folder: Path) -> None:
+    """Copy the package of a checkout into a folder under its other name."""
     shutil.copytree(
         Path(checkout) / "pearstep", folder / BEFORE, ignore=shutil.ignore_patterns("__pycache__")
     )
@@ -47,7 +46,6 @@
         file.write_text(
             text.replace("from pearstep", f"from {BEFORE}").replace("import pearstep", f"import {BEFORE}")
         )
-    sys.path.insert(0, str(folder))
 
 
 def before(module: str) -> Any:
@@ -116,9 +114,9 @@
 
 
 class Played(msgspec.Struct, frozen=True):
-    """One run: the other version's checkout, a seed, an order, and what happens besides."""
+    """One run: the folder of the other version's package, a seed, an order, and what happens besides."""
 
-    checkout: str
+    folder: str
     seed: int
     order: str
     copies: bool
@@ -127,8 +125,8 @@
 
 def play(played: Played, log: bool = False) -> tuple[Result, list[str]]:
     """Play a seed in one order."""
-    if BEFORE not in sys.modules:
-        load_before(played.checkout)
+    if played.folder not in sys.path:
+        sys.path.insert(0, played.folder)
     setup = setup_of(played.seed, played.copies, played.slow_links)
     return run(setup, log, MixedCluster if played.order == ORDERS[0] else BackCluster)
 
@@ -150,18 +148,19 @@
     if os.environ.get("PYTHONHASHSEED") != "0":
         arguments = [sys.executable, "-m", "measurements.mixed_versions", *sys.argv[1:]]
         os.execve(sys.executable, arguments, {**os.environ, "PYTHONHASHSEED": "0"})
-    if log:
-        result, trace = play(Played(checkout, first, ORDERS[0], copies, slow_links), log=True)
-        click.echo("\n".join(trace), err=True)
-        results = {(first, ORDERS[0]): result}
-    else:
-        played = [
-            Played(checkout, seed, order, copies, slow_links)
-            for seed in range(first, first + seeds)
-            for order in ORDERS
-        ]
-        with ProcessPoolExecutor(jobs) as pool:
-            results = dict(zip(((p.seed, p.order) for p in played), pool.map(_result, played), strict=True))
+    with tempfile.TemporaryDirectory(prefix="mixed-versions-") as folder:
+        copy_before(checkout, Path(folder))
+        if log:
+            result, trace = play(Played(folder, first, ORDERS[0], copies, slow_links), log=True)
+            click.echo("\n".join(trace), err=True)
+            results = {(first, ORDERS[0]): result}
+        else:
+            numbers = range(first, first + seeds)
+            played = [Played(folder, n, order, copies, slow_links) for n in numbers for order in ORDERS]
+            with ProcessPoolExecutor(jobs) as pool:
+                results = {
+                    (p.seed, p.order): r for p, r in zip(played, pool.map(_result, played), strict=True)
+                }
     failed = {which: result for which, result in results.items() if result.broken}
     for (seed, order), result in failed.items():
         click.echo(f"seed {seed} {order}: {len(result.broken)} broken, first: {result.broken[0]}", err=True)
--- a/tests/agent_link.py
+++ b/tests/agent_link.py
@@ -20,7 +20,7 @@
 )
 from pearstep.shard.commands import ShardActions
 from pearstep.state.records import JobRecord, RouteRecord
-from pearstep.worker.session import EXITED, Effect, Machine, Session, Timing
+from pearstep.worker.session import Effect, Machine, Session, Timing
 from tests.world import SMALL, ShardHarness, spec
 
 MACHINE, NODE = "m0", "n0"
@@ -175,8 +175,3 @@
     def knows(self, key: TaskKey) -> bool:
         """Return whether the agent still remembers an attempt."""
         return key in self.session.tasks
-
-    def has_ended(self, key: TaskKey) -> bool:
-        """Return whether the agent remembers an attempt, and that it ended."""
-        held = self.session.tasks.get(key)
-        return held is not None and held.state == EXITED
--- a/tests/test_command_copies.py
+++ b/tests/test_command_copies.py
@@ -5,7 +5,6 @@
 from hypothesis import strategies as st
 
 from pearstep.shard.command_tokens import CommandTokens
-from pearstep.shard.commands import ShardActions
 from pearstep.shard.machine import Machine
 from tests.agent_link import LinkedAgent
 from tests.world import SMALL, spec
@@ -185,7 +184,6 @@
     def commit_with_starts_in_answers(self):
         self.send(self.world.run_pass())
         self.world.commit()
-        self.send(ShardActions())
 
 
 EVENTS = ["heartbeat", "heartbeat", "commit", "commit", "end_task", "deliver_copies", "take_over"]
@@ -230,5 +228,6 @@
     agent = CopyingAgent()
     agent.end_task()
     agent.lose_lease()
-    agent.deliver_copies()
-    assert len(agent.starts) == 1 and agent.answers[-1][0] == 200
+    assert agent.session.number == 2
+    assert {agent.deliver(content)[0] for content in agent.commands} == {409}
+    assert len(agent.starts) == 1
